--- a/components/endpoint/src/http/client.rs
+++ b/components/endpoint/src/http/client.rs
@@ -3,12 +3,15 @@
 use crate::{
     Call, Probe, Reply, Report, Stop, Transport, Unsent, Usage,
     class::{self, Failure},
-    http::{Answer, Meter, Options, Request, connection::Connection, host::Host, watch},
+    http::{
+        Answer, Meter, Options, Request,
+        connection::Connection,
+        host::{Host, Hosts},
+        watch,
+    },
     protocol::{self, Token},
 };
 use async_trait::async_trait;
-use parking_lot::RwLock;
-use rustc_hash::FxHashMap;
 use site::{
     id::{AttemptId, Incarnation},
     service::Place,
@@ -32,14 +35,14 @@
 pub(crate) struct Inner {
     pub(crate) incarnation: Incarnation,
     pub(crate) options: Options,
-    hosts: RwLock<FxHashMap<SocketAddr, Arc<Host>>>,
+    hosts: Hosts,
 }
 
 impl Client {
     /// A transport for the process `incarnation`. Idle connections are closed by a task on the
     /// global executor of `smol`.
     pub fn new(incarnation: Incarnation, options: Options) -> Client {
-        let inner = Arc::new(Inner { incarnation, options, hosts: RwLock::default() });
+        let inner = Arc::new(Inner { incarnation, options, hosts: Hosts::default() });
         smol::spawn(sweep(Arc::downgrade(&inner), duration(options.idle_limit))).detach();
         Client { inner }
     }
@@ -176,12 +179,7 @@
     }
 
     fn host(&self, address: SocketAddr) -> Arc<Host> {
-        if let Some(host) = self.hosts.read().get(&address) {
-            return Arc::clone(host);
-        }
-        let mut hosts = self.hosts.write();
-        let host = hosts.entry(address).or_insert_with(|| Host::new(address));
-        Arc::clone(host)
+        self.hosts.get(address)
     }
 
     /// Asks over a new connection for the endpoint's health and the state of an attempt.
@@ -201,37 +199,13 @@
         };
         exchange.or(control_timeout(&self.options)).await
     }
-
-    /// Forgets hosts without connections.
-    fn sweep(&self, limit: Duration) {
-        let hosts: Vec<_> = self.hosts.read().values().cloned().collect();
-        let unused = |host: &Arc<Host>| !host.sweep(limit);
-        let unused: Vec<_> = hosts.into_iter().filter(unused).collect();
-        if unused.is_empty() {
-            return;
-        }
-        let mut hosts = self.hosts.write();
-        for host in unused {
-            // One reference here and one in the map: nobody is about to use it.
-            if Arc::strong_count(&host) == 2 {
-                hosts.remove(&host.address);
-            }
-        }
-    }
-}
-
-impl Drop for Inner {
-    /// Idle connections refer back to their host.
-    fn drop(&mut self) {
-        self.hosts.get_mut().values().for_each(|host| host.condemn());
-    }
 }
 
 async fn sweep(client: Weak<Inner>, limit: Duration) {
     loop {
         Timer::after(limit / 2).await;
         let Some(client) = client.upgrade() else { return };
-        client.sweep(limit);
+        client.hosts.sweep(limit);
     }
 }
 
--- a/components/endpoint/src/http/host.rs
+++ b/components/endpoint/src/http/host.rs
@@ -5,13 +5,54 @@
     reply::Unsent,
 };
 use event_listener::Event;
-use parking_lot::Mutex;
+use parking_lot::{Mutex, RwLock};
+use rustc_hash::FxHashMap;
 use std::{
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
+/// All endpoints that connections were opened to.
+#[derive(Debug, Default)]
+pub(crate) struct Hosts(RwLock<FxHashMap<SocketAddr, Arc<Host>>>);
+
+impl Hosts {
+    /// The endpoint at `address`.
+    pub(crate) fn get(&self, address: SocketAddr) -> Arc<Host> {
+        if let Some(host) = self.0.read().get(&address) {
+            return Arc::clone(host);
+        }
+        let mut hosts = self.0.write();
+        let host = hosts.entry(address).or_insert_with(|| Host::new(address));
+        Arc::clone(host)
+    }
+
+    /// Closes connections that were not used for `limit` and forgets hosts without any.
+    pub(crate) fn sweep(&self, limit: Duration) {
+        let hosts: Vec<_> = self.0.read().values().cloned().collect();
+        let unused = |host: &Arc<Host>| !host.sweep(limit);
+        let unused: Vec<_> = hosts.into_iter().filter(unused).collect();
+        if unused.is_empty() {
+            return;
+        }
+        let mut hosts = self.0.write();
+        for host in unused {
+            // One reference here and one in the map: nobody is about to use it.
+            if Arc::strong_count(&host) == 2 {
+                hosts.remove(&host.address);
+            }
+        }
+    }
+}
+
+impl Drop for Hosts {
+    /// Idle connections refer back to their host.
+    fn drop(&mut self) {
+        self.0.get_mut().values().for_each(|host| host.condemn());
+    }
+}
+
 /// The connections to one endpoint.
 #[derive(Debug)]
 pub(crate) struct Host {
--- a/components/endpoint/src/http/mod.rs
+++ b/components/endpoint/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! Calls over HTTP/1.1 with connections that are kept open.
 
+mod caller;
 mod client;
 mod connection;
 mod control;
@@ -10,6 +11,7 @@
 mod stream;
 mod watch;
 
+pub use caller::{Ask, Caller, Failed, Reply};
 pub use client::Client;
 pub use options::Options;
 
--- a/components/entry/src/network.rs
+++ b/components/entry/src/network.rs
@@ -29,7 +29,7 @@
 /// The node, and where entries without a connection are to be found.
 pub(crate) struct Network {
     me: Home,
-    node: Node,
+    node: Node<Message>,
     /// Where processes listen, as the registry or they themselves last said. Never forgets, as registrations may
     /// lapse while the platform is out.
     directory: Mutex<HashMap<EntryId, (Home, SocketAddr)>>,
@@ -41,7 +41,7 @@
 
 impl Network {
     /// The connections of `node`, which is the process `me`.
-    pub(crate) fn new(me: Home, node: Node) -> Network {
+    pub(crate) fn new(me: Home, node: Node<Message>) -> Network {
         Network {
             me,
             node,
@@ -82,7 +82,7 @@
     /// Takes in what the node reports until it is closed.
     pub(crate) async fn receive(
         self: Arc<Self>,
-        incoming: Receiver<Incoming>,
+        incoming: Receiver<Incoming<Message>>,
         engine: Arc<Engine>,
         config: Arc<Config>,
     ) {
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use close::Code;
 pub use error::Error;
-pub use node::{Incoming, Node, Traffic};
+pub use node::{Incoming, Node, Payload, Traffic};
 pub use options::Options;
--- a/components/link/src/node/accept.rs
+++ b/components/link/src/node/accept.rs
@@ -1,7 +1,7 @@
 //! Connections that others make.
 
 use super::{
-    Incoming, Inner,
+    Incoming, Inner, Payload,
     greeting::{Greeted, greet},
     session, within,
 };
@@ -12,7 +12,7 @@
 };
 
 /// Accepts connections until the endpoint is closed.
-pub(super) async fn accept(inner: Arc<Inner>) {
+pub(super) async fn accept<M: Payload>(inner: Arc<Inner<M>>) {
     let pending = Arc::new(AtomicUsize::new(0));
     while let Some(incoming) = inner.endpoint.accept().await {
         if pending.fetch_add(1, Relaxed) >= inner.options.max_pending {
@@ -35,7 +35,7 @@
     }
 }
 
-async fn admit(inner: &Inner, incoming: quinn::Incoming) -> Result<Greeted, Error> {
+async fn admit<M>(inner: &Inner<M>, incoming: quinn::Incoming) -> Result<Greeted, Error> {
     let connecting = incoming.accept()?;
     let connection = within(inner.options.handshake_timeout, connecting)
         .await
@@ -43,7 +43,7 @@
     greet(inner, connection, None).await
 }
 
-async fn settle(inner: Arc<Inner>, greeted: Greeted) {
+async fn settle<M: Payload>(inner: Arc<Inner<M>>, greeted: Greeted) {
     if inner.table.enter(&greeted.session).await {
         session::run(inner, greeted).await;
     } else {
@@ -52,8 +52,10 @@
 }
 
 /// Strangers must not be able to fill the owner's queue, so this never waits.
-fn report(inner: &Inner, failed: Incoming) {
+fn report<M>(inner: &Inner<M>, failed: Incoming<M>) {
     inner.counters.failed();
-    tracing::debug!(?failed, "connection not accepted");
+    if let Incoming::Failed { address, error } = &failed {
+        tracing::debug!(%address, %error, "connection not accepted");
+    }
     let _ = inner.incoming.try_send(failed);
 }
--- a/components/link/src/node/dial.rs
+++ b/components/link/src/node/dial.rs
@@ -1,7 +1,7 @@
 //! Connections that this end makes and keeps.
 
 use super::{
-    Incoming, Inner,
+    Incoming, Inner, Payload,
     backoff::Backoff,
     greeting::{Greeted, greet},
     session::{self, Session},
@@ -11,21 +11,22 @@
 use parking_lot::Mutex;
 use site::id::EntryId;
 use smol::{Task, Timer};
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{marker::PhantomData, net::SocketAddr, sync::Arc, time::Instant};
 
 /// Keeps a connection to one entry. Dropping it stops further attempts, and no connection that
 /// is up.
 #[derive(Debug)]
-pub(super) struct Dial {
+pub(super) struct Dial<M> {
     address: Arc<Mutex<SocketAddr>>,
     _task: Task<()>,
+    payload: PhantomData<fn(M)>,
 }
 
-impl Dial {
-    pub(super) fn start(inner: Arc<Inner>, entry: EntryId, address: SocketAddr) -> Self {
+impl<M: Payload> Dial<M> {
+    pub(super) fn start(inner: Arc<Inner<M>>, entry: EntryId, address: SocketAddr) -> Self {
         let address = Arc::new(Mutex::new(address));
         let task = smol::spawn(keep(inner, entry, address.clone()));
-        Self { address, _task: task }
+        Self { address, _task: task, payload: PhantomData }
     }
 
     pub(super) fn set_address(&self, address: SocketAddr) {
@@ -33,7 +34,7 @@
     }
 }
 
-async fn keep(inner: Arc<Inner>, entry: EntryId, address: Arc<Mutex<SocketAddr>>) {
+async fn keep<M: Payload>(inner: Arc<Inner<M>>, entry: EntryId, address: Arc<Mutex<SocketAddr>>) {
     let options = &inner.options;
     let mut backoff = Backoff::new(options.min_backoff, options.max_backoff);
     loop {
@@ -54,7 +55,11 @@
 }
 
 /// Connects once. Returns the connection if it came up.
-async fn attempt(inner: &Arc<Inner>, entry: EntryId, address: SocketAddr) -> Option<Arc<Session>> {
+async fn attempt<M: Payload>(
+    inner: &Arc<Inner<M>>,
+    entry: EntryId,
+    address: SocketAddr,
+) -> Option<Arc<Session>> {
     match connect(inner, entry, address).await {
         Ok(greeted) => settle(inner, greeted).await,
         Err(Error::Closed(Code::Duplicate)) => None,
@@ -67,7 +72,7 @@
     }
 }
 
-async fn connect(inner: &Inner, entry: EntryId, address: SocketAddr) -> Result<Greeted, Error> {
+async fn connect<M>(inner: &Inner<M>, entry: EntryId, address: SocketAddr) -> Result<Greeted, Error> {
     let client = inner.client.read().clone();
     let connecting = inner.endpoint.connect_with(client, address, &tls::name(entry))?;
     let connection = within(inner.options.handshake_timeout, connecting)
@@ -76,7 +81,7 @@
     greet(inner, connection, Some(entry)).await
 }
 
-async fn settle(inner: &Arc<Inner>, greeted: Greeted) -> Option<Arc<Session>> {
+async fn settle<M: Payload>(inner: &Arc<Inner<M>>, greeted: Greeted) -> Option<Arc<Session>> {
     let session = greeted.session.clone();
     if !inner.table.enter(&session).await {
         session.close(Code::Duplicate);
--- a/components/link/src/node/greeting.rs
+++ b/components/link/src/node/greeting.rs
@@ -24,8 +24,8 @@
 /// Exchanges hellos. `dialled` is the entry that this end connected to, if it did.
 ///
 /// On an error the connection is closed.
-pub(super) async fn greet(
-    inner: &Inner,
+pub(super) async fn greet<M>(
+    inner: &Inner<M>,
     connection: Connection,
     dialled: Option<EntryId>,
 ) -> Result<Greeted, Error> {
@@ -36,8 +36,8 @@
     })
 }
 
-async fn exchange(
-    inner: &Inner,
+async fn exchange<M>(
+    inner: &Inner<M>,
     connection: &Connection,
     dialled: Option<EntryId>,
 ) -> Result<Greeted, Error> {
@@ -51,7 +51,7 @@
     Ok(Greeted { session: Arc::new(session), send, recv, decoder })
 }
 
-fn own_hello(inner: &Inner) -> Result<Vec<u8>, Error> {
+fn own_hello<M>(inner: &Inner<M>) -> Result<Vec<u8>, Error> {
     let options = &inner.options;
     let addresses = match options.addresses.is_empty() {
         true => vec![inner.address],
@@ -76,8 +76,8 @@
 }
 
 /// Checks that the peer is who it says, and who this end asked for.
-fn check(
-    inner: &Inner,
+fn check<M>(
+    inner: &Inner<M>,
     connection: &Connection,
     hello: &Hello,
     dialled: Option<EntryId>,
--- a/components/link/src/node/mod.rs
+++ b/components/link/src/node/mod.rs
@@ -12,11 +12,11 @@
 pub use traffic::Traffic;
 
 use crate::{Code, Error, Options, tls::Identity};
-use dispatch::Message;
 use futures_lite::future;
 use parking_lot::{Mutex, RwLock};
 use quinn::{ClientConfig, Endpoint, EndpointConfig, SmolRuntime, TransportConfig};
 use rustc_hash::FxHashMap;
+use serde::{Serialize, de::DeserializeOwned};
 use site::id::{EntryId, Home};
 use smol::Timer;
 use std::{
@@ -27,9 +27,14 @@
 use table::Table;
 use traffic::Counters;
 
+/// What may be sent to peers: anything that has an encoding of its own and may change threads.
+pub trait Payload: Serialize + DeserializeOwned + Send + 'static {}
+
+impl<M: Serialize + DeserializeOwned + Send + 'static> Payload for M {}
+
 /// What a node tells its owner.
 #[derive(Debug)]
-pub enum Incoming {
+pub enum Incoming<M> {
     /// A connection to a peer came up. Followed by exactly one `Down` for it.
     Up {
         /// The peer, authenticated.
@@ -45,7 +50,7 @@
         /// The sender, authenticated.
         from: Home,
         /// What it says.
-        message: Message,
+        message: M,
     },
     /// A connection could not be made or accepted. Attempts of this end go on.
     Failed {
@@ -58,12 +63,12 @@
 
 /// All connections of one entry. Dropping it closes them at once.
 #[derive(Debug)]
-pub struct Node {
-    inner: Arc<Inner>,
+pub struct Node<M> {
+    inner: Arc<Inner<M>>,
 }
 
 #[derive(Debug)]
-struct Inner {
+struct Inner<M> {
     options: Options,
     /// Where this node accepts connections.
     address: SocketAddr,
@@ -72,19 +77,19 @@
     /// Replaced when the identity is.
     client: RwLock<ClientConfig>,
     table: Table,
-    dials: Mutex<FxHashMap<EntryId, dial::Dial>>,
+    dials: Mutex<FxHashMap<EntryId, dial::Dial<M>>>,
     counters: Counters,
-    incoming: async_channel::Sender<Incoming>,
+    incoming: async_channel::Sender<Incoming<M>>,
 }
 
-impl Node {
+impl<M: Payload> Node<M> {
     /// Opens the socket and accepts connections from now on.
     ///
     /// # Errors
     ///
     /// The address can't be bound, the identity is not that of the options' home, or can't be
     /// used.
-    pub fn start(options: Options) -> Result<(Self, async_channel::Receiver<Incoming>), Error> {
+    pub fn start(options: Options) -> Result<(Self, async_channel::Receiver<Incoming<M>>), Error> {
         options.identity.check(options.home.entry)?;
         let transport = Arc::new(options.transport());
         let client = RwLock::new(options.identity.client(transport.clone())?);
@@ -138,7 +143,7 @@
     ///
     /// There is no connection to the peer, the message is longer than a frame may be, or the
     /// queue is full; in that case the connection is closed.
-    pub fn send(&self, to: Home, message: &Message) -> Result<(), Error> {
+    pub fn send(&self, to: Home, message: &M) -> Result<(), Error> {
         let session = self.inner.table.get(to).ok_or(Error::NotConnected(to))?;
         let sent = session.send(message);
         match &sent {
@@ -205,7 +210,7 @@
     }
 }
 
-impl Drop for Node {
+impl<M> Drop for Node<M> {
     fn drop(&mut self) {
         self.inner.dials.lock().clear();
         self.inner.endpoint.close(Code::Done.into(), b"");
--- a/components/link/src/node/outbox.rs
+++ b/components/link/src/node/outbox.rs
@@ -1,7 +1,7 @@
 //! Encoded frames that wait for one peer.
 
-use dispatch::Message;
 use parking_lot::Mutex;
+use serde::Serialize;
 use std::mem;
 use wire::{Limit, frame};
 
@@ -56,7 +56,7 @@
     }
 
     /// Adds a message. Only the first to find the queue too long gets [`Full::Overflow`].
-    pub(super) fn push(&self, message: &Message) -> Result<(), Full> {
+    pub(super) fn push(&self, message: &impl Serialize) -> Result<(), Full> {
         let mut state = self.state.lock();
         if state.closed {
             return Err(Full::Closed);
--- a/components/link/src/node/session.rs
+++ b/components/link/src/node/session.rs
@@ -1,15 +1,15 @@
 //! One connection to one peer, from its hello to its end.
 
 use super::{
-    Incoming, Inner,
+    Incoming, Inner, Payload,
     greeting::{CHUNK, Greeted, read_error, write_error},
     outbox::{Batch, Full, Outbox},
     traffic::Datagrams,
 };
 use crate::{Code, Error, Options};
-use dispatch::Message;
 use futures_lite::future;
 use quinn::{Connection, RecvStream, SendStream};
+use serde::Serialize;
 use site::id::Home;
 use std::{net::SocketAddr, sync::Arc};
 use wire::{Decoder, Hello};
@@ -64,7 +64,7 @@
         Datagrams { received: stats.udp_rx.bytes, sent: stats.udp_tx.bytes }
     }
 
-    pub(super) fn send(&self, message: &Message) -> Result<(), Error> {
+    pub(super) fn send(&self, message: &impl Serialize) -> Result<(), Error> {
         self.outbox.push(message).map_err(|full| match full {
             Full::Closed => Error::NotConnected(self.peer()),
             Full::Frame(error) => Error::Frame(error),
@@ -94,7 +94,7 @@
 }
 
 /// Runs a connection that has its place in the table until it ends.
-pub(super) async fn run(inner: Arc<Inner>, greeted: Greeted) {
+pub(super) async fn run<M: Payload>(inner: Arc<Inner<M>>, greeted: Greeted) {
     let Greeted { session, send, recv, decoder } = greeted;
     let peer = session.peer();
     inner.counters.connected();
@@ -111,7 +111,7 @@
     session.end.1.close();
 }
 
-async fn tell(inner: &Inner, event: Incoming) {
+async fn tell<M>(inner: &Inner<M>, event: Incoming<M>) {
     // Without an owner nobody needs to know.
     let _ = inner.incoming.send(event).await;
 }
@@ -121,8 +121,8 @@
 }
 
 /// Ends without an error when the peer ends its stream between two frames.
-async fn read(
-    inner: &Inner,
+async fn read<M: Payload>(
+    inner: &Inner<M>,
     from: Home,
     mut recv: RecvStream,
     mut decoder: Decoder,
@@ -142,7 +142,7 @@
 }
 
 /// Ends without an error when everything has arrived and nothing more will be sent.
-async fn write(inner: &Inner, outbox: &Outbox, mut send: SendStream) -> Result<(), Error> {
+async fn write<M>(inner: &Inner<M>, outbox: &Outbox, mut send: SendStream) -> Result<(), Error> {
     let mut written = Vec::new();
     loop {
         match outbox.next(written).await {
--- a/components/link/tests/common/mod.rs
+++ b/components/link/tests/common/mod.rs
@@ -25,8 +25,8 @@
 
 pub struct Peer {
     pub home: Home,
-    pub node: Node,
-    pub incoming: Receiver<Incoming>,
+    pub node: Node<Message>,
+    pub incoming: Receiver<Incoming<Message>>,
 }
 
 pub fn loopback() -> SocketAddr {
@@ -65,7 +65,7 @@
         self.node.connect(other.home.entry, other.node.address());
     }
 
-    pub async fn next(&self) -> Incoming {
+    pub async fn next(&self) -> Incoming<Message> {
         let hang = async {
             Timer::after(HANGS).await;
             panic!("{} waits for an event that does not come", self.home)
--- a/components/link/tests/failure.rs
+++ b/components/link/tests/failure.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Peer, home, identity, loopback, numbered, options};
+use dispatch::Message;
 use link::{Code, Incoming, Options, tls, tls::issue::Authority};
 use quinn::{Connection, Endpoint, EndpointConfig, SmolRuntime};
 use site::id::{EntryId, Home};
@@ -41,7 +42,7 @@
 }
 
 /// The code that a node closes the connection with after these bytes.
-async fn answer_to(bytes: &[u8]) -> (Code, Vec<Incoming>) {
+async fn answer_to(bytes: &[u8]) -> (Code, Vec<Incoming<Message>>) {
     let authority = authority();
     let target = Peer::start(Options {
         limit: Limit::new(1 << 16).expect("in bounds"),
@@ -206,7 +207,7 @@
 async fn restart(options: Options) -> Peer {
     let home = options.home;
     loop {
-        match link::Node::start(options.clone()) {
+        match link::Node::<Message>::start(options.clone()) {
             Ok((node, incoming)) => return Peer { home, node, incoming },
             Err(link::Error::Listen { .. }) => smol::future::yield_now().await,
             Err(error) => panic!("{error}"),
--- /dev/null
+++ b/components/runner/src/metrics.rs
@@ -0,0 +1,114 @@
+//! What an entry counts.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram},
+};
+use runs::{
+    Decision,
+    executor::{Answered, Started},
+    job::Answer,
+};
+use site::unit::Span;
+use telemetry::{Exporter, MetricsError};
+
+/// Bounds of the response time histogram, in seconds.
+const RESPONSE_BOUNDS: [f64; 11] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 1.6, 3.0];
+
+/// The instruments of one entry.
+#[derive(Debug)]
+pub struct Metrics {
+    exporter: Exporter,
+    answers: Counter<u64>,
+    starts: Counter<u64>,
+    looks: Counter<u64>,
+    stops: Counter<u64>,
+    failures: Counter<u64>,
+    store: Counter<u64>,
+    response: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Instruments with an exporter of their own.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter can't be built.
+    pub fn new() -> Result<Metrics, MetricsError> {
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        Ok(Metrics {
+            answers: counter("job_answers", "Jobs answered, by answer"),
+            starts: counter("run_starts", "Starts sent to executors, by their answer"),
+            looks: counter("executor_looks", "Looks at executors, by their answer"),
+            stops: counter("run_stops", "Stops sent to executors, by their answer"),
+            failures: counter("run_failures", "Runs that ended otherwise than well"),
+            store: counter("store_calls", "Calls to the platform's store, by outcome"),
+            response: meter
+                .f64_histogram("job_response_seconds")
+                .with_description("Time from a job's arrival to its answer")
+                .with_boundaries(RESPONSE_BOUNDS.to_vec())
+                .build(),
+            exporter,
+        })
+    }
+
+    /// All metrics in Prometheus' text format.
+    ///
+    /// # Errors
+    ///
+    /// When they can't be collected.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        self.exporter.render()
+    }
+
+    /// A call to the store has ended.
+    pub fn store_call(&self, outcome: &'static str) {
+        self.store.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn decided(&self, decision: &Decision) {
+        if let Decision::RunEnded { .. } = decision {
+            self.failures.add(1, &[]);
+        }
+    }
+
+    pub(crate) fn answered(&self, answer: Answer, span: Span) {
+        let name = match answer {
+            Answer::Completed => "completed",
+            Answer::Failed => "failed",
+            Answer::Refused { .. } => "refused",
+        };
+        self.answers.add(1, &[KeyValue::new("answer", name)]);
+        self.response.record(span.0 as f64 / 1e6, &[]);
+    }
+
+    pub(crate) fn started(&self, reply: &Started) {
+        let name = match reply {
+            Started::Running { .. } => "running",
+            Started::Refused { .. } => "refused",
+            Started::Unsent => "unsent",
+            Started::Unknown => "unknown",
+            Started::Gone => "gone",
+        };
+        self.starts.add(1, &[KeyValue::new("reply", name)]);
+    }
+
+    pub(crate) fn looked<T>(&self, reply: &Answered<T>) {
+        self.looks.add(1, &[KeyValue::new("reply", name(reply))]);
+    }
+
+    pub(crate) fn stopped<T>(&self, reply: &Answered<T>) {
+        self.stops.add(1, &[KeyValue::new("reply", name(reply))]);
+    }
+}
+
+fn name<T>(reply: &Answered<T>) -> &'static str {
+    match reply {
+        Answered::Done(_) => "done",
+        Answered::Fenced => "fenced",
+        Answered::Silent => "silent",
+        Answered::Gone => "gone",
+    }
+}
--- /dev/null
+++ b/components/runs/src/entry.rs
@@ -0,0 +1,260 @@
+//! One entry: home of its callers' jobs and keeper of its executors.
+
+use crate::{
+    Action, Event, Message, Options,
+    action::Decision,
+    home::Jobs,
+    job::Task,
+    keeper::Keeper,
+    message::{Ended, Report},
+    view::View,
+};
+use rustc_hash::FxHashMap;
+use site::{
+    id::Home,
+    unit::{Revision, Span, Time},
+};
+
+/// How often [`Event::Tick`] is due. Short against the shortest tasks, 50 ms.
+pub const TICK: Span = Span::from_millis(20);
+
+/// How often the executors that are kept are compared with the view without a change of either.
+const RECONCILE_INTERVAL: Span = Span::from_secs(1);
+
+/// The whole logic of an entry.
+#[derive(Debug)]
+pub struct Entry {
+    me: Home,
+    options: Options,
+    jobs: Jobs,
+    keeper: Keeper,
+    view: View,
+    configuration: u64,
+    /// The latest event.
+    latest: Time,
+    reconciled: Time,
+    /// What peers were last told, and when.
+    reported: (Report, Time),
+    exited: bool,
+}
+
+impl Entry {
+    /// An entry that knows of nothing yet.
+    pub fn new(me: Home, options: Options, now: Time) -> Self {
+        Self {
+            me,
+            options,
+            jobs: Jobs::new(me, options),
+            keeper: Keeper::new(options),
+            view: View::new(me),
+            configuration: 0,
+            latest: now,
+            reconciled: now,
+            reported: (Report::default(), Time(0)),
+            exited: false,
+        }
+    }
+
+    /// Takes an event in and appends what is to be done because of it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let span = now.since(self.latest);
+        if span > self.options.pause_limit {
+            self.pause(now, span, out);
+        }
+        self.latest = now;
+        self.take(now, event, out);
+        self.settle(now, out);
+    }
+
+    /// Whether the entry knows of peers or executors that can serve callers.
+    pub fn can_serve(&self) -> bool {
+        self.keeper.capacity() > 0 || self.jobs.peers.capacity() > 0
+    }
+
+    /// Whether it is about to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.view.is_leaving()
+    }
+
+    /// Peers that know of no configuration as new as this.
+    pub fn behind(&self, version: u64) -> Vec<Home> {
+        let behind = self.jobs.peers.configurations().filter(|(_, known)| *known < version);
+        behind.map(|(home, _)| home).collect()
+    }
+
+    fn take(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Submit { waiter, job } => self.jobs.submit(now, waiter, job, out),
+            Event::Leave { waiter } => {
+                let own = self.jobs.leave(waiter, out);
+                self.keeper.cancel(now, &own, out);
+            }
+            Event::Executors(executors) => {
+                self.keeper.set_executors(executors);
+                self.reconcile(now, out);
+            }
+            Event::Members { revision, members } => {
+                let changed = self.view.list(revision, members);
+                self.view_changed(now, changed, out);
+            }
+            Event::Started { executor, run, reply } => {
+                self.keeper.started(now, executor, &run, reply, out);
+            }
+            Event::Looked { executor, reply } => self.keeper.looked(now, executor, reply, out),
+            Event::Stopped { executor, run, reply } => {
+                self.keeper.stopped(now, executor, &run, reply, out);
+            }
+            Event::Message { from, message } => self.message(now, from, message, out),
+            Event::PeerUp { peer } => self.peer_up(now, peer, out),
+            Event::PeerDown { peer } => self.peer_down(now, peer, out),
+            Event::Configured { version } => self.configuration = version,
+            Event::Drain => {
+                let changed = self.view.set_leaving(self.me, true);
+                self.view_changed(now, changed, out);
+            }
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    fn message(&mut self, now: Time, from: Home, message: Message, out: &mut Vec<Action>) {
+        match message {
+            Message::Place(placement) => self.keeper.place(now, placement),
+            Message::Cancel(tasks) => self.keeper.cancel(now, &tasks, out),
+            Message::Ended(ended) => {
+                for ended in &ended {
+                    let own = self.jobs.ended(now, from, ended, out);
+                    self.keeper.cancel(now, &own, out);
+                }
+            }
+            Message::Report(report) => {
+                self.jobs.peers.report(now, from, report);
+                self.view.see(report.revision);
+                let changed = self.view.set_leaving(from, report.leaving);
+                self.view_changed(now, changed, out);
+            }
+            Message::Claim(executors) => self.keeper.hand_over(now, from, &executors, out),
+            Message::Yield(yielded) => self.keeper.take_over(now, yielded, out),
+            Message::Moved(tasks) => self.jobs.moved(from, &tasks),
+            // Dealt with by the process, which reads the document.
+            Message::Configuration { .. } => {}
+        }
+    }
+
+    fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
+        self.jobs.peers.connect(peer);
+        let report = self.report(now);
+        out.push(Action::Send { to: peer, message: Message::Report(report) });
+        let changed = self.view.connect(peer);
+        self.view_changed(now, changed, out);
+    }
+
+    fn peer_down(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
+        self.jobs.peers.disconnect(peer);
+        self.jobs.keeper_lost(now, peer);
+        self.keeper.home_lost(now, peer, out);
+        let changed = self.view.disconnect(peer);
+        self.view_changed(now, changed, out);
+    }
+
+    fn view_changed(&mut self, now: Time, changed: bool, out: &mut Vec<Action>) {
+        if !changed {
+            return;
+        }
+        out.push(Action::Log(Decision::Members {
+            members: self.view.keepers().len(),
+            listed: self.view.listed(),
+            revision: self.view.revision().0,
+        }));
+        self.reconcile(now, out);
+    }
+
+    fn reconcile(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.reconciled = now;
+        self.keeper.reconcile(now, &self.view, out);
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.reconciled) >= RECONCILE_INTERVAL {
+            self.reconcile(now, out);
+        }
+        self.keeper.tick(now, &self.view, out);
+        if self.view.is_leaving() && !self.exited && self.is_idle() {
+            self.exited = true;
+            out.push(Action::Exit);
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.keeper.is_idle()
+    }
+
+    fn pause(&mut self, now: Time, span: Span, out: &mut Vec<Action>) {
+        out.push(Action::Log(Decision::Paused { span }));
+        let own = self.jobs.pause(now, out);
+        self.keeper.cancel(now, &own, out);
+        self.keeper.pause();
+    }
+
+    /// Brings jobs and executors together until nothing changes any more, then tells the peers.
+    fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+        loop {
+            let own = self.jobs.expire(now, out);
+            self.keeper.cancel(now, &own, out);
+            for placement in self.jobs.place(now, self.keeper.room(now), out) {
+                self.keeper.place(now, placement);
+            }
+            self.keeper.pump(now, out);
+            let ends = self.keeper.take_ends();
+            if ends.is_empty() {
+                break;
+            }
+            self.tell_homes(now, ends, out);
+        }
+        self.tell_room(now, out);
+    }
+
+    fn tell_homes(&mut self, now: Time, ends: Vec<Ended>, out: &mut Vec<Action>) {
+        let mut homes: FxHashMap<Home, Vec<Ended>> = FxHashMap::default();
+        for ended in ends {
+            homes.entry(ended.task.job.home).or_default().push(ended);
+        }
+        let mut cancelled: Vec<Task> = Vec::new();
+        for ended in homes.remove(&self.me).unwrap_or_default() {
+            cancelled.extend(self.jobs.ended(now, self.me, &ended, out));
+        }
+        self.keeper.cancel(now, &cancelled, out);
+        let send = |(to, ended)| Action::Send { to, message: Message::Ended(ended) };
+        out.extend(homes.into_iter().map(send));
+    }
+
+    fn report(&self, now: Time) -> Report {
+        Report {
+            room: self.keeper.room(now),
+            capacity: self.keeper.capacity(),
+            leaving: self.view.is_leaving(),
+            configuration: self.configuration,
+            revision: self.view.revision(),
+        }
+    }
+
+    fn tell_room(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.jobs.peers.len() == 0 {
+            return;
+        }
+        let (old, at) = self.reported;
+        let age = now.since(at);
+        if age < self.options.report_interval {
+            return;
+        }
+        let report = self.report(now);
+        let comparable = Report { revision: Revision(0), ..report };
+        if comparable == (Report { revision: Revision(0), ..old })
+            && age < self.options.report_refresh
+        {
+            return;
+        }
+        self.reported = (report, now);
+        let message = Message::Report(report);
+        out.extend(self.view.linked().map(|to| Action::Send { to, message: message.clone() }));
+    }
+}
--- /dev/null
+++ b/components/runs/src/home/job.rs
@@ -0,0 +1,105 @@
+//! One job that this entry answers for.
+
+use crate::job::{self, Job, Key};
+use site::{
+    id::{EndpointId, Home, WaiterId},
+    unit::Time,
+};
+use std::sync::Arc;
+
+/// A job whose caller waits.
+#[derive(Debug)]
+pub(crate) struct Open {
+    pub(crate) key: Key,
+    pub(crate) job: Arc<Job>,
+    pub(crate) waiter: WaiterId,
+    pub(crate) arrived: Time,
+    pub(crate) tasks: Vec<Task>,
+    /// Some task has run, or may have.
+    pub(crate) ran: bool,
+}
+
+/// A task of a job.
+#[derive(Debug)]
+pub(crate) struct Task {
+    pub(crate) state: State,
+    /// Number of its next run.
+    pub(crate) run: u32,
+    pub(crate) failures: u16,
+    /// Where earlier runs went wrong.
+    pub(crate) avoid: Vec<EndpointId>,
+}
+
+/// How far a task is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum State {
+    /// It is to be sent to a keeper.
+    Waiting {
+        /// Not before then: an earlier run may still be there.
+        from: Time,
+    },
+    /// A keeper has it.
+    Placed {
+        /// Which.
+        keeper: Home,
+    },
+    /// It ended well.
+    Done,
+}
+
+impl Open {
+    pub(crate) fn new(now: Time, key: Key, waiter: WaiterId, job: Job) -> Self {
+        let task = || Task {
+            state: State::Waiting { from: now },
+            run: job.first_run,
+            failures: 0,
+            avoid: Vec::new(),
+        };
+        let tasks = (0..job.tasks).map(|_| task()).collect();
+        Self { key, job: Arc::new(job), waiter, arrived: now, tasks, ran: false }
+    }
+
+    /// Positions of the tasks that may be sent now.
+    pub(crate) fn waiting(&self, now: Time) -> Vec<u16> {
+        let waits = |task: &Task| matches!(task.state, State::Waiting { from } if from <= now);
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter(|(_, task)| waits(task)).map(|(index, _)| index as u16).collect()
+    }
+
+    pub(crate) fn has_waiting(&self) -> bool {
+        self.tasks.iter().any(|task| matches!(task.state, State::Waiting { .. }))
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.state == State::Done)
+    }
+
+    /// Tasks that keepers have, with their keepers.
+    pub(crate) fn placed(&self) -> impl Iterator<Item = (Home, job::Task)> {
+        let job = self.key;
+        self.tasks.iter().enumerate().filter_map(move |(index, task)| match task.state {
+            State::Placed { keeper } => Some((keeper, job::Task { job, index: index as u16 })),
+            _ => None,
+        })
+    }
+
+    /// Whether no task has run, nor will unless it is sent to a keeper.
+    pub(crate) fn is_untouched(&self) -> bool {
+        !self.ran && self.placed().next().is_none()
+    }
+
+    /// Whether a task that starts now ends too late for anyone, by the estimate.
+    pub(crate) fn is_too_late(&self, now: Time) -> bool {
+        now + self.job.estimate > self.job.give_up
+    }
+
+    /// The latest start at which the job is in time.
+    pub(crate) fn start_by(&self) -> Time {
+        Time(self.job.due.0.saturating_sub(self.job.estimate.0))
+    }
+
+    /// Sorts jobs that have begun first, then what can still be in time, the most pressing first.
+    pub(crate) fn rank(&self, now: Time) -> (bool, bool, Time, Key) {
+        (!self.ran, self.start_by() < now, self.start_by(), self.key)
+    }
+}
--- /dev/null
+++ b/components/runs/src/home/mod.rs
@@ -0,0 +1,238 @@
+//! The jobs that this entry answers for.
+
+mod job;
+mod peer;
+mod place;
+
+pub(crate) use peer::Peers;
+
+use crate::{
+    Action, Job, Message, Options,
+    action::{Decision, Reason},
+    job::{Answer, Key, Task},
+    message::{End, Ended},
+};
+use job::{Open, State};
+use rustc_hash::FxHashMap;
+use site::{
+    id::{Home, WaiterId},
+    unit::{Span, Time},
+};
+
+/// When a refused caller should come back. The unit of the answer is a second, and bursts here
+/// last a few of them.
+const RETRY_AFTER: Span = Span::from_secs(1);
+
+/// The jobs that this entry answers for.
+#[derive(Debug)]
+pub(crate) struct Jobs {
+    me: Home,
+    options: Options,
+    open: FxHashMap<u64, Open>,
+    waiters: FxHashMap<WaiterId, u64>,
+    /// The number of the next job.
+    next: u64,
+    pub(crate) peers: Peers,
+}
+
+impl Jobs {
+    pub(crate) fn new(me: Home, options: Options) -> Self {
+        Self {
+            me,
+            options,
+            open: FxHashMap::default(),
+            waiters: FxHashMap::default(),
+            next: 0,
+            peers: Peers::default(),
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
+    /// Takes a job in.
+    pub(crate) fn submit(
+        &mut self,
+        now: Time,
+        waiter: WaiterId,
+        job: Job,
+        out: &mut Vec<Action>,
+    ) {
+        self.next += 1;
+        let key = Key { home: self.me, number: self.next };
+        out.push(Action::Log(Decision::Admit {
+            job: job.name.clone(),
+            tasks: job.tasks,
+            estimate: job.estimate,
+            due_in: job.due.since(now),
+            give_up_in: job.give_up.since(now),
+            waiting: self.waiting(),
+        }));
+        self.waiters.insert(waiter, key.number);
+        self.open.insert(key.number, Open::new(now, key, waiter, job));
+    }
+
+    /// A caller has gone: its job is stopped.
+    pub(crate) fn leave(&mut self, waiter: WaiterId, out: &mut Vec<Action>) -> Vec<Task> {
+        let Some(open) = self.waiters.remove(&waiter).and_then(|number| self.open.remove(&number))
+        else {
+            return Vec::new();
+        };
+        let placed = open.placed().count();
+        out.push(Action::Log(Decision::Left { job: open.job.name.clone(), placed }));
+        self.cancel_placed(&open, out)
+    }
+
+    /// Takes in what became of tasks. Returns tasks of this entry's own executors to cancel.
+    pub(crate) fn ended(
+        &mut self,
+        now: Time,
+        from: Home,
+        ended: &Ended,
+        out: &mut Vec<Action>,
+    ) -> Vec<Task> {
+        let Some(open) = self.open.get_mut(&ended.task.job.number) else { return Vec::new() };
+        let Some(task) = open.tasks.get_mut(usize::from(ended.task.index)) else {
+            return Vec::new();
+        };
+        if task.state != (State::Placed { keeper: from }) {
+            return Vec::new();
+        }
+        task.run = task.run.max(ended.run + 1);
+        open.ran |= ended.end != End::NotRun;
+        task.state = match ended.end {
+            End::Done => State::Done,
+            End::Failed | End::Lost | End::NotRun => State::Waiting { from: now },
+            End::Unsure => State::Waiting { from: now + self.options.lapse_wait },
+        };
+        if ended.end == End::Failed {
+            task.failures += 1;
+        }
+        if matches!(ended.end, End::Failed | End::Lost | End::Unsure) {
+            task.avoid.extend(ended.executor);
+        }
+        if ended.end == End::Done {
+            return match open.is_done() {
+                true => self.finish(now, ended.task.job.number, Reason::AllDone, out),
+                false => Vec::new(),
+            };
+        }
+        let failures = task.failures;
+        let hopeless = failures >= open.job.max_failures;
+        let late = open.is_too_late(now) && open.ran;
+        out.push(Action::Log(Decision::TaskEnded {
+            job: open.job.name.clone(),
+            index: ended.task.index,
+            run: ended.run,
+            end: ended.end,
+            failures,
+            again: !hopeless && !late,
+        }));
+        match (hopeless, late) {
+            (true, _) => self.finish(now, ended.task.job.number, Reason::Failures, out),
+            (false, true) => self.finish(now, ended.task.job.number, Reason::LostTooLate, out),
+            (false, false) => Vec::new(),
+        }
+    }
+
+    /// Another keeper now has these tasks' runs.
+    pub(crate) fn moved(&mut self, to: Home, tasks: &[Task]) {
+        for task in tasks {
+            let open = self.open.get_mut(&task.job.number);
+            let entry = open.and_then(|open| open.tasks.get_mut(usize::from(task.index)));
+            if let Some(entry) = entry
+                && entry.state != State::Done
+            {
+                entry.state = State::Placed { keeper: to };
+            }
+        }
+    }
+
+    /// The connection to a keeper is lost. What it had of this entry's tasks is over soon, since
+    /// it stops them or their leases lapse.
+    pub(crate) fn keeper_lost(&mut self, now: Time, keeper: Home) {
+        let from = now + self.options.lapse_wait;
+        for open in self.open.values_mut() {
+            for task in &mut open.tasks {
+                if task.state == (State::Placed { keeper }) {
+                    task.state = State::Waiting { from };
+                    task.run += 1;
+                    open.ran = true;
+                }
+            }
+        }
+    }
+
+    /// The process did not run for a while: callers may have gone, and leases may have lapsed.
+    pub(crate) fn pause(&mut self, now: Time, out: &mut Vec<Action>) -> Vec<Task> {
+        let numbers: Vec<_> = self.open.keys().copied().collect();
+        let finish = |number| self.finish(now, number, Reason::Paused, out);
+        numbers.into_iter().flat_map(finish).collect()
+    }
+
+    /// Gives up what can't be in time any more.
+    pub(crate) fn expire(&mut self, now: Time, out: &mut Vec<Action>) -> Vec<Task> {
+        let reason = |open: &Open| {
+            let late = now >= open.job.give_up;
+            match (open.is_untouched(), open.has_waiting() && open.is_too_late(now)) {
+                (true, true) => Some(Reason::NoRoomInTime),
+                (false, true) if open.ran => Some(Reason::LostTooLate),
+                (false, _) if late => Some(Reason::OutOfTime),
+                _ => None,
+            }
+        };
+        let due: Vec<_> = self
+            .open
+            .iter()
+            .filter_map(|(number, open)| Some((*number, reason(open)?)))
+            .collect();
+        due.into_iter().flat_map(|(number, why)| self.finish(now, number, why, out)).collect()
+    }
+
+    /// Answers a job's caller and forgets the job. Returns tasks of this entry's own executors to
+    /// cancel.
+    fn finish(
+        &mut self,
+        now: Time,
+        number: u64,
+        why: Reason,
+        out: &mut Vec<Action>,
+    ) -> Vec<Task> {
+        let Some(open) = self.open.remove(&number) else { return Vec::new() };
+        self.waiters.remove(&open.waiter);
+        let (answer, name) = match why {
+            Reason::AllDone => (Answer::Completed, "completed"),
+            _ if open.is_untouched() => {
+                (Answer::Refused { retry_after: RETRY_AFTER }, "refused")
+            }
+            _ => (Answer::Failed, "failed"),
+        };
+        out.push(Action::Log(Decision::Answer {
+            job: open.job.name.clone(),
+            answer: name,
+            why,
+            after: now.since(open.arrived),
+            late_by: now.since(open.job.due),
+            waiting: self.waiting(),
+            room: self.peers.with_room(now).map(|(_, room)| room).sum(),
+        }));
+        out.push(Action::Answer { waiter: open.waiter, answer });
+        self.cancel_placed(&open, out)
+    }
+
+    fn cancel_placed(&self, open: &Open, out: &mut Vec<Action>) -> Vec<Task> {
+        let mut keepers: FxHashMap<Home, Vec<Task>> = FxHashMap::default();
+        for (keeper, task) in open.placed() {
+            keepers.entry(keeper).or_default().push(task);
+        }
+        let own = keepers.remove(&self.me).unwrap_or_default();
+        let cancel = |(to, tasks)| Action::Send { to, message: Message::Cancel(tasks) };
+        out.extend(keepers.into_iter().map(cancel));
+        own
+    }
+
+    fn waiting(&self) -> usize {
+        self.open.values().filter(|open| open.has_waiting()).count()
+    }
+}
--- /dev/null
+++ b/components/runs/src/home/peer.rs
@@ -0,0 +1,71 @@
+//! What a home knows of the keepers that it sends tasks to.
+
+use crate::message::Report;
+use rustc_hash::FxHashMap;
+use site::{
+    id::Home,
+    unit::{Span, Time},
+};
+
+/// A keeper's report is not believed for longer than this. Several times the interval at which
+/// reports are repeated.
+const REPORT_AGE: Span = Span::from_millis(1_000);
+
+/// The keepers that are connected.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    peers: FxHashMap<Home, Peer>,
+}
+
+/// One keeper.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Peer {
+    pub(crate) report: Report,
+    pub(crate) at: Time,
+}
+
+impl Peers {
+    pub(crate) fn connect(&mut self, peer: Home) {
+        self.peers.entry(peer).or_default();
+    }
+
+    pub(crate) fn disconnect(&mut self, peer: Home) {
+        self.peers.remove(&peer);
+    }
+
+    pub(crate) fn report(&mut self, now: Time, from: Home, report: Report) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            *peer = Peer { report, at: now };
+        }
+    }
+
+    /// Keepers with room, and how much.
+    pub(crate) fn with_room(&self, now: Time) -> impl Iterator<Item = (Home, u32)> {
+        let usable = move |peer: &Peer| peer.report.room > 0 && now.since(peer.at) < REPORT_AGE;
+        self.peers.iter().filter(move |(_, p)| usable(p)).map(|(home, p)| (*home, p.report.room))
+    }
+
+    /// Notes that tasks were sent, until the next report.
+    pub(crate) fn take(&mut self, peer: Home, tasks: u32) {
+        if let Some(peer) = self.peers.get_mut(&peer) {
+            peer.report.room = peer.report.room.saturating_sub(tasks);
+        }
+    }
+
+    pub(crate) fn capacity(&self) -> u32 {
+        self.peers.values().map(|peer| peer.report.capacity).sum()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.peers.len()
+    }
+
+    pub(crate) fn age(&self, now: Time, peer: Home) -> Span {
+        self.peers.get(&peer).map_or(Span::ZERO, |peer| now.since(peer.at))
+    }
+
+    /// The newest configuration that a peer knows of.
+    pub(crate) fn configurations(&self) -> impl Iterator<Item = (Home, u64)> {
+        self.peers.iter().map(|(home, peer)| (*home, peer.report.configuration))
+    }
+}
--- /dev/null
+++ b/components/runs/src/keeper/hold.rs
@@ -0,0 +1,274 @@
+//! Looks: an executor's lists, and its lease.
+
+use super::{Keeper, Live, Phase, State, log_keep};
+use crate::{
+    Action,
+    action::{Ending, KeepChange, Look, StopCause},
+    executor::{Answered, Ended, How, Lists},
+    job::Run,
+    message::End,
+};
+use site::{
+    id::EndpointId,
+    unit::{Resources, Span, Time},
+};
+
+impl Keeper {
+    /// Asks for the lists of an executor that is not in use yet.
+    pub(super) fn begin_look(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        lease.phase = Phase::Looking;
+        lease.look_at = Some(now);
+        log_keep(lease, KeepChange::Look, out);
+        self.look(now, id, out);
+    }
+
+    /// Sends a look if one is due and none is on its way.
+    pub(super) fn look(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
+        let span = self.options.lease - self.options.lease_margin;
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        let due = lease.look_at.is_some_and(|at| at <= now);
+        if !due || lease.looking.is_some() {
+            return;
+        }
+        // Before its lists are known, the lease of what runs there is not prolonged.
+        let renew = lease.phase == Phase::Ready && !lease.runs.is_empty();
+        let deadline = if renew { lease.extend(now, span) } else { None };
+        let quick = lease.phase == Phase::Looking || lease.silent > 0 || lease.runs.is_empty();
+        lease.looking = Some((now, lease.acknowledged));
+        lease.look_at = None;
+        out.push(Action::Look(Look {
+            executor: id,
+            token: lease.token,
+            acknowledged: lease.acknowledged,
+            deadline,
+            wait: if quick { Span::ZERO } else { self.options.look_wait },
+        }));
+    }
+
+    /// Takes the answer to a look in.
+    pub(crate) fn looked(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        reply: Answered<Lists>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        let Some((sent, acknowledged)) = lease.looking.take() else { return };
+        match reply {
+            Answered::Done(lists) => {
+                lease.confirmed = lease.confirmed.max(acknowledged);
+                if lease.silent > 0 {
+                    lease.silent = 0;
+                    log_keep(lease, KeepChange::Answers, out);
+                }
+                lease.read_clock(lists.clock, now);
+                self.take_lists(now, id, sent, lists, out);
+            }
+            Answered::Fenced => self.fenced(now, id, out),
+            Answered::Gone => self.executor_gone(now, id, out),
+            Answered::Silent => {
+                lease.silent += 1;
+                lease.look_at = Some(now + self.options.look_retry);
+                if lease.silent == 2 {
+                    log_keep(lease, KeepChange::Silent, out);
+                }
+            }
+        }
+    }
+
+    fn take_lists(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        sent: Time,
+        lists: Lists,
+        out: &mut Vec<Action>,
+    ) {
+        for ended in &lists.ended {
+            self.take_end(now, id, ended, out);
+        }
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        for run in &lists.running {
+            match lease.runs.get_mut(run) {
+                Some(live) => live.confirm(now),
+                None => lease.insert(run.clone(), Live::unknown(now)),
+            }
+        }
+        if lease.phase == Phase::Looking {
+            lease.phase = Phase::Ready;
+            lease.tries = 0;
+            log_keep(lease, KeepChange::Ready, out);
+        }
+        let listed = |run: &Run| lists.running.contains(run);
+        let missing: Vec<_> =
+            lease.runs.keys().filter(|run| !listed(run)).cloned().collect();
+        for run in missing {
+            self.judge_missing(now, id, sent, &run, out);
+        }
+        self.plan_look(now, id);
+        self.tick_runs(now, id, out);
+    }
+
+    fn take_end(&mut self, now: Time, id: EndpointId, ended: &Ended, out: &mut Vec<Action>) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        if ended.number <= lease.acknowledged {
+            return;
+        }
+        lease.acknowledged = ended.number;
+        let Some(run) = &ended.run else { return };
+        let end = match ended.how {
+            How::Done => End::Done,
+            How::Failed => End::Failed,
+            How::Stopped | How::Lapsed => End::Lost,
+        };
+        self.end_run(now, id, run, end, Ending::Listed(ended.how), out);
+    }
+
+    /// Decides about a run that the lists of a look sent at `sent` do not hold.
+    fn judge_missing(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        sent: Time,
+        run: &Run,
+        out: &mut Vec<Action>,
+    ) {
+        let grace = self.start_grace();
+        let Some(lease) = self.leases.get(&id) else { return };
+        let Some(live) = lease.runs.get(run) else { return };
+        match live.state {
+            State::Running { since } if since < sent => {
+                self.end_run(now, id, run, End::Lost, Ending::Missing, out);
+            }
+            State::Stopped { since } if since < sent => {
+                let end = if live.seen { End::Lost } else { End::NotRun };
+                self.end_run(now, id, run, end, Ending::Missing, out);
+            }
+            State::Starting if live.sent + grace < sent => {
+                self.stop(now, id, run, StopCause::StartLost, out);
+            }
+            State::Unsure { since } if since <= sent => {
+                self.stop(now, id, run, StopCause::StartLost, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// A start that is not answered or listed by then is late.
+    pub(super) fn start_grace(&self) -> Span {
+        self.options.start_grace + Span(self.start_time.0 * 4)
+    }
+
+    /// Decides when the executor is looked at next.
+    fn plan_look(&mut self, now: Time, id: EndpointId) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        if lease.looking.is_some() {
+            return;
+        }
+        lease.look_at = match lease.runs.is_empty() {
+            false => Some(now),
+            true if lease.confirmed < lease.acknowledged => {
+                Some(now + self.options.acknowledge_after)
+            }
+            true => None,
+        };
+    }
+
+    /// Does what is due for the runs of an executor.
+    pub(super) fn tick_runs(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
+        let grace = self.start_grace();
+        let Some(lease) = self.leases.get(&id) else { return };
+        if lease.silent > 0 && !lease.runs.is_empty() && lease.has_lapsed(now) {
+            return self.lease_over(now, id, out);
+        }
+        let overdue = |live: &Live| {
+            let limit = Span(live.estimate.0 * self.options.overdue_factor);
+            now.since(live.sent) > limit + self.options.overdue_margin
+        };
+        let gone = |live: &Live| match live.state {
+            State::Stopped { since } => !live.seen && since + self.options.stop_time < now,
+            _ => false,
+        };
+        let over: Vec<_> =
+            lease.runs.iter().filter(|(_, live)| gone(live)).map(|(run, _)| run.clone()).collect();
+        let wish = |live: &Live| match live.state {
+            State::StopAgain { at } if at <= now => live.stop,
+            State::Starting if live.sent + grace < now => Some(StopCause::StartLost),
+            State::Running { .. } if live.task.is_none() => Some(StopCause::Unknown),
+            State::Running { .. } if overdue(live) => Some(StopCause::Overdue),
+            _ => None,
+        };
+        let wishes: Vec<_> = lease
+            .runs
+            .iter()
+            .filter_map(|(run, live)| Some((run.clone(), wish(live)?)))
+            .collect();
+        for run in over {
+            self.end_run(now, id, &run, End::Lost, Ending::Missing, out);
+        }
+        for (run, why) in wishes {
+            self.stop(now, id, &run, why, out);
+        }
+        self.look(now, id, out);
+    }
+
+    fn lease_over(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
+        let Some(lease) = self.leases.get(&id) else { return };
+        let runs: Vec<_> = lease.runs.keys().cloned().collect();
+        for run in runs {
+            self.end_run(now, id, &run, End::Lost, Ending::LeaseOver, out);
+        }
+    }
+
+    /// Another entry holds the executor with a higher token: it answers for what runs there.
+    pub(super) fn fenced(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        lease.tries = lease.tries.saturating_add(1);
+        lease.phase = Phase::Fenced { until: now + self.options.fenced_pause };
+        lease.look_at = None;
+        log_keep(lease, KeepChange::Fenced, out);
+        let runs: Vec<_> = lease.runs.keys().cloned().collect();
+        for run in runs {
+            self.end_run(now, id, &run, End::Unsure, Ending::Fenced, out);
+        }
+    }
+
+    /// This life of the executor is over, and all that ran there.
+    pub(super) fn executor_gone(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        let first = !lease.executor.leaving;
+        lease.executor.leaving = true;
+        if first {
+            log_keep(lease, KeepChange::Gone, out);
+        }
+        let runs: Vec<_> = lease.runs.keys().cloned().collect();
+        for run in runs {
+            self.end_run(now, id, &run, End::Lost, Ending::ExecutorGone, out);
+        }
+    }
+}
+
+impl Live {
+    /// A run that nobody here knows of.
+    fn unknown(now: Time) -> Self {
+        Self {
+            task: None,
+            needs: Resources::default(),
+            estimate: Span::ZERO,
+            give_up: now,
+            sent: now,
+            state: State::Running { since: now },
+            seen: true,
+            stop: None,
+        }
+    }
+
+    fn confirm(&mut self, now: Time) {
+        self.seen = true;
+        if matches!(self.state, State::Starting | State::Unsure { .. }) {
+            self.state = State::Running { since: now };
+        }
+    }
+}
--- /dev/null
+++ b/components/runs/src/keeper/lease.rs
@@ -0,0 +1,189 @@
+//! One executor that this entry keeps: its lease, and what runs there.
+
+use crate::{
+    Executor,
+    action::StopCause,
+    clock::{Clock, Remote},
+    job::{Run, Task},
+};
+use rustc_hash::FxHashMap;
+use site::unit::{Resources, Span, Time};
+
+/// An executor that this entry keeps.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    pub(crate) executor: Executor,
+    pub(crate) phase: Phase,
+    pub(crate) token: u64,
+    /// Refusals of a token since the executor was last in use.
+    pub(crate) tries: u8,
+    /// `None` until the executor was looked at.
+    pub(crate) clock: Option<Clock>,
+    /// The latest deadline that was sent, on the executor's clock. Whatever runs there is over
+    /// once its clock has passed it.
+    pub(crate) deadline: Remote,
+    pub(crate) runs: FxHashMap<Run, Live>,
+    /// The sum of what `runs` occupy.
+    pub(crate) used: Resources,
+    /// Ends up to this number were dealt with.
+    pub(crate) acknowledged: u64,
+    /// Ends up to this number were acknowledged in a look that was answered.
+    pub(crate) confirmed: u64,
+    /// When the look was sent whose answer is awaited, and what it acknowledged.
+    pub(crate) looking: Option<(Time, u64)>,
+    /// When the next look is due, if one is wanted.
+    pub(crate) look_at: Option<Time>,
+    /// Looks in a row without an answer.
+    pub(crate) silent: u32,
+    /// No start before then: the executor said that it has no room.
+    pub(crate) full_until: Time,
+    /// How many times as long as others it takes.
+    pub(crate) slow: f32,
+}
+
+/// How far this entry is with an executor.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Phase {
+    /// The view that makes this entry its keeper is new.
+    Settling {
+        /// When it counts as settled.
+        until: Time,
+    },
+    /// Other entries were asked for what they know.
+    Claiming {
+        /// When to go on without.
+        until: Time,
+    },
+    /// It was asked for its lists and may not be used yet.
+    Looking,
+    /// It is in use.
+    Ready,
+    /// A higher token than this entry's was used there.
+    Fenced {
+        /// When to try again.
+        until: Time,
+    },
+}
+
+/// A run that is at an executor, or may be.
+#[derive(Clone, Debug)]
+pub(crate) struct Live {
+    /// `None` for a run that this entry found and knows nothing of.
+    pub(crate) task: Option<Task>,
+    pub(crate) needs: Resources,
+    pub(crate) estimate: Span,
+    pub(crate) give_up: Time,
+    /// When its start was sent.
+    pub(crate) sent: Time,
+    pub(crate) state: State,
+    /// Whether the executor ever said that it is there.
+    pub(crate) seen: bool,
+    /// Why it is being stopped.
+    pub(crate) stop: Option<StopCause>,
+}
+
+/// What is known of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum State {
+    /// Its start was sent and not answered.
+    Starting,
+    /// Its start was not answered, and will not be.
+    Unsure {
+        /// Since when.
+        since: Time,
+    },
+    /// The executor said that it is there.
+    Running {
+        /// When it said so.
+        since: Time,
+    },
+    /// A stop was sent and not answered.
+    Stopping,
+    /// A stop failed.
+    StopAgain {
+        /// When to send another.
+        at: Time,
+    },
+    /// A stop was carried out; the end is not listed yet.
+    Stopped {
+        /// Since when.
+        since: Time,
+    },
+}
+
+impl Lease {
+    pub(crate) fn new(executor: Executor, phase: Phase) -> Self {
+        Self {
+            executor,
+            phase,
+            token: 0,
+            tries: 0,
+            clock: None,
+            deadline: 0,
+            runs: FxHashMap::default(),
+            used: Resources::default(),
+            acknowledged: 0,
+            confirmed: 0,
+            looking: None,
+            look_at: None,
+            silent: 0,
+            full_until: Time(0),
+            slow: 1.0,
+        }
+    }
+
+    pub(crate) fn free(&self) -> Resources {
+        self.executor.capacity.minus(&self.used)
+    }
+
+    /// Whether a task may be started there now, as far as the executor alone is concerned.
+    pub(crate) fn is_usable(&self, now: Time) -> bool {
+        self.phase == Phase::Ready
+            && !self.executor.leaving
+            && self.silent == 0
+            && self.full_until <= now
+    }
+
+    pub(crate) fn insert(&mut self, run: Run, live: Live) {
+        self.used = self.used.plus(&live.needs);
+        if let Some(old) = self.runs.insert(run, live) {
+            self.used = self.used.minus(&old.needs);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, run: &Run) -> Option<Live> {
+        let live = self.runs.remove(run)?;
+        self.used = self.used.minus(&live.needs);
+        Some(live)
+    }
+
+    /// Whether nothing that was started there can run any more, whatever the executor does.
+    pub(crate) fn has_lapsed(&self, now: Time) -> bool {
+        self.clock.is_none_or(|clock| clock.least(now) > self.deadline)
+    }
+
+    pub(crate) fn read_clock(&mut self, reading: Remote, now: Time) {
+        match &mut self.clock {
+            Some(clock) => clock.update(reading, now),
+            None => self.clock = Some(Clock::new(reading, now)),
+        }
+    }
+
+    /// A new deadline for everything that runs there.
+    pub(crate) fn extend(&mut self, now: Time, span: Span) -> Option<Remote> {
+        let deadline = self.clock?.deadline(now, span);
+        self.deadline = self.deadline.max(deadline);
+        Some(deadline)
+    }
+
+    /// Tasks of a job that are there.
+    pub(crate) fn count(&self, job: crate::job::Key) -> usize {
+        self.runs.values().filter(|live| live.task.is_some_and(|task| task.job == job)).count()
+    }
+}
+
+impl Live {
+    pub(crate) fn is_being_stopped(&self) -> bool {
+        self.stop.is_some()
+    }
+}
--- /dev/null
+++ b/components/runs/src/keeper/mod.rs
@@ -0,0 +1,302 @@
+//! The executors that this entry keeps, and the tasks that wait for them.
+
+mod hold;
+mod lease;
+mod queue;
+mod start;
+mod stop;
+
+use lease::{Lease, Live, Phase, State};
+use queue::{Queue, Queued};
+
+use crate::{
+    Action, Executor, Message, Options,
+    action::{Decision, Ending, KeepChange},
+    job::{Run, Task},
+    message::{self, End, Placement, Yield, Yielded},
+    view::View,
+};
+use health::Monitor;
+use rustc_hash::FxHashMap;
+use site::{
+    id::{EndpointId, Home},
+    unit::{Resources, Span, Time},
+};
+
+/// By how much one task moves what counts as its usual need, as a divisor.
+const TYPICAL_WEIGHT: u32 = 16;
+
+/// The executors that this entry keeps, and the tasks that wait for them.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    options: Options,
+    /// Every executor that the platform lists.
+    known: FxHashMap<EndpointId, Executor>,
+    leases: FxHashMap<EndpointId, Lease>,
+    queue: Queue,
+    health: Monitor,
+    /// What a task usually needs.
+    typical: Resources,
+    /// How long a start usually takes until its answer.
+    start_time: Span,
+    /// What homes are to be told.
+    ends: Vec<message::Ended>,
+}
+
+impl Keeper {
+    pub(crate) fn new(options: Options) -> Self {
+        Self {
+            options,
+            known: FxHashMap::default(),
+            leases: FxHashMap::default(),
+            queue: Queue::default(),
+            health: Monitor::new(),
+            typical: Resources::SLOT,
+            start_time: Span::ZERO,
+            ends: Vec::new(),
+        }
+    }
+
+    /// What became of tasks since the last call.
+    pub(crate) fn take_ends(&mut self) -> Vec<message::Ended> {
+        std::mem::take(&mut self.ends)
+    }
+
+    /// Tasks of usual size that may be sent here now.
+    pub(crate) fn room(&self, now: Time) -> u32 {
+        if !self.leases.values().any(|lease| lease.is_usable(now)) {
+            return 0;
+        }
+        let free = |lease: &Lease| lease.free().count(&self.typical);
+        let usable = |lease: &&Lease| lease.is_usable(now) && self.health.is_open(lease.executor.id);
+        let free: u32 = self.leases.values().filter(usable).map(free).sum();
+        (free + self.options.queue_ahead).saturating_sub(self.queue.len() as u32)
+    }
+
+    /// Tasks of usual size that run at one time on the executors in use.
+    pub(crate) fn capacity(&self) -> u32 {
+        let ready = self.leases.values().filter(|lease| lease.phase == Phase::Ready);
+        ready.map(|lease| lease.executor.capacity.count(&self.typical)).sum()
+    }
+
+    /// Whether anything runs or waits here for a home, or an executor is kept.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.leases.values().all(|lease| lease.runs.is_empty())
+    }
+
+    /// Takes tasks in.
+    pub(crate) fn place(&mut self, now: Time, placement: Placement) {
+        for place in &placement.tasks {
+            self.learn_need(&placement.needs);
+            self.queue.push(Queued::new(now, &placement, place));
+        }
+    }
+
+    fn learn_need(&mut self, needs: &Resources) {
+        let old = self.typical;
+        if old.cores.0 == 0 && old.memory.0 == 0 {
+            self.typical = needs.with_slot();
+            return;
+        }
+        let weight = u64::from(TYPICAL_WEIGHT);
+        let mix = |old: u64, new: u64| (old * (weight - 1) + new).div_ceil(weight);
+        self.typical.cores.0 = mix(u64::from(old.cores.0), u64::from(needs.cores.0)) as u32;
+        self.typical.memory.0 = mix(old.memory.0, needs.memory.0);
+    }
+
+    /// Takes a new list of executors in.
+    pub(crate) fn set_executors(&mut self, executors: Vec<Executor>) {
+        self.known = executors.into_iter().map(|executor| (executor.id, executor)).collect();
+        for lease in self.leases.values_mut() {
+            match self.known.get(&lease.executor.id) {
+                Some(executor) => lease.executor = executor.clone(),
+                None => lease.executor.leaving = true,
+            }
+        }
+    }
+
+    /// Begins to keep what the view says, and forgets what is gone.
+    pub(crate) fn reconcile(&mut self, now: Time, view: &View, out: &mut Vec<Action>) {
+        for executor in self.known.values() {
+            if !self.leases.contains_key(&executor.id) && view.keeps(executor) {
+                let phase = Phase::Settling { until: now + self.options.settle };
+                self.leases.insert(executor.id, Lease::new(executor.clone(), phase));
+                self.health.insert(executor.id);
+            }
+        }
+        let is_over = |lease: &Lease| {
+            let unused = !matches!(lease.phase, Phase::Ready | Phase::Looking);
+            let unwanted = unused && !view.keeps(&lease.executor);
+            let gone = !self.known.contains_key(&lease.executor.id) && lease.runs.is_empty();
+            unwanted || gone
+        };
+        let over: Vec<_> =
+            self.leases.values().filter(|lease| is_over(lease)).map(|l| l.executor.id).collect();
+        for id in over {
+            self.forget(id, KeepChange::Gone, out);
+        }
+    }
+
+    fn forget(&mut self, id: EndpointId, change: KeepChange, out: &mut Vec<Action>) {
+        if let Some(lease) = self.leases.remove(&id) {
+            log_keep(&lease, change, out);
+            self.health.remove(id);
+        }
+    }
+
+    /// Hands executors over to another entry that now keeps them.
+    pub(crate) fn hand_over(
+        &mut self,
+        now: Time,
+        to: Home,
+        executors: &[EndpointId],
+        out: &mut Vec<Action>,
+    ) {
+        for id in executors {
+            let Some(lease) = self.leases.get(id) else { continue };
+            let message = Message::Yield(Yield {
+                executor: *id,
+                acknowledged: lease.acknowledged,
+                runs: lease.runs.iter().filter_map(|(run, live)| yielded(now, run, live)).collect(),
+            });
+            out.push(Action::Send { to, message });
+            self.forget(*id, KeepChange::Yield, out);
+        }
+    }
+
+    /// Takes over what a former keeper knew of an executor.
+    pub(crate) fn take_over(&mut self, now: Time, yielded: Yield, out: &mut Vec<Action>) {
+        let Some(lease) = self.leases.get_mut(&yielded.executor) else { return };
+        if !matches!(lease.phase, Phase::Claiming { .. } | Phase::Looking) {
+            return;
+        }
+        lease.acknowledged = lease.acknowledged.max(yielded.acknowledged);
+        let mut moved: FxHashMap<Home, Vec<Task>> = FxHashMap::default();
+        for entry in yielded.runs {
+            let live = Live {
+                task: Some(entry.task),
+                needs: entry.needs,
+                estimate: entry.estimate,
+                give_up: now + entry.give_up_in,
+                sent: Time(now.0.saturating_sub(entry.running_for.0)),
+                state: State::Unsure { since: now },
+                seen: false,
+                stop: None,
+            };
+            self.health.may_use(now, yielded.executor);
+            lease.insert(entry.run, live);
+            moved.entry(entry.task.job.home).or_default().push(entry.task);
+        }
+        let moved = moved.into_iter();
+        out.extend(moved.map(|(to, tasks)| Action::Send { to, message: Message::Moved(tasks) }));
+        if matches!(lease.phase, Phase::Claiming { .. }) {
+            self.begin_look(now, yielded.executor, out);
+        }
+    }
+
+    /// The process did not run for a while: its leases may have lapsed and what waits is stale.
+    pub(crate) fn pause(&mut self) {
+        for queued in self.queue.drain() {
+            self.ends.push(queued.ended(End::NotRun));
+        }
+        for lease in self.leases.values_mut() {
+            if lease.phase == Phase::Ready {
+                lease.phase = Phase::Looking;
+            }
+            lease.look_at = Some(Time(0));
+        }
+    }
+
+    /// Does what is due.
+    pub(crate) fn tick(&mut self, now: Time, view: &View, out: &mut Vec<Action>) {
+        let mut changes = Vec::new();
+        self.health.tick(now, &mut changes);
+        for (id, change) in changes {
+            self.note_health(id, change, out);
+        }
+        let ids: Vec<_> = self.leases.keys().copied().collect();
+        let mut claims = Vec::new();
+        for id in ids {
+            self.tick_lease(now, id, view, &mut claims, out);
+        }
+        if !claims.is_empty() {
+            let message = Message::Claim(claims);
+            out.extend(view.linked().map(|to| Action::Send { to, message: message.clone() }));
+        }
+    }
+
+    fn tick_lease(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        view: &View,
+        claims: &mut Vec<EndpointId>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        match lease.phase {
+            Phase::Settling { until } if until <= now => {
+                lease.token = view.token(lease.tries);
+                lease.phase = Phase::Claiming { until: now + self.options.claim_timeout };
+                log_keep(lease, KeepChange::Claim, out);
+                claims.push(id);
+                if view.linked().next().is_none() {
+                    self.begin_look(now, id, out);
+                }
+            }
+            Phase::Claiming { until } if until <= now => self.begin_look(now, id, out),
+            Phase::Fenced { until } if until <= now => {
+                lease.phase = Phase::Settling { until: now };
+            }
+            Phase::Settling { .. } | Phase::Claiming { .. } | Phase::Fenced { .. } => {}
+            Phase::Looking | Phase::Ready => self.tick_runs(now, id, out),
+        }
+    }
+
+    /// Ends a run for its home and for all that counted on it.
+    fn end_run(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        run: &Run,
+        end: End,
+        how: Ending,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        let Some(live) = lease.remove(run) else { return };
+        if end != End::Done {
+            out.push(Action::Log(Decision::RunEnded {
+                run: run.to_string().into(),
+                executor: lease.executor.name.clone(),
+                how,
+                after: now.since(live.sent),
+            }));
+        }
+        self.judge(now, id, &live, end, how, out);
+        let Some(task) = live.task else { return };
+        let ended = message::Ended { task, run: run.number, executor: Some(id), end };
+        self.ends.push(ended);
+    }
+}
+
+/// What another keeper has to know of a run; nothing of one that is unknown here.
+fn yielded(now: Time, run: &Run, live: &Live) -> Option<Yielded> {
+    Some(Yielded {
+        run: run.clone(),
+        task: live.task?,
+        needs: live.needs,
+        estimate: live.estimate,
+        running_for: now.since(live.sent),
+        give_up_in: live.give_up.since(now),
+    })
+}
+
+fn log_keep(lease: &Lease, change: KeepChange, out: &mut Vec<Action>) {
+    out.push(Action::Log(Decision::Keep {
+        executor: lease.executor.name.clone(),
+        change,
+        token: lease.token,
+        runs: lease.runs.len(),
+    }));
+}
--- /dev/null
+++ b/components/runs/src/keeper/stop.rs
@@ -0,0 +1,148 @@
+//! Stops, and what the end of a run says about its executor.
+
+use super::{Keeper, Live, State};
+use crate::{
+    Action,
+    action::{Decision, Ending, StopCause},
+    executor::Answered,
+    job::{Run, Task},
+    message::End,
+};
+use compact_str::format_compact;
+use health::{Attempt, Cause, Change, Observation};
+use site::{
+    id::{EndpointId, Home},
+    unit::Time,
+};
+
+impl Keeper {
+    /// Gives tasks up whose answers nobody wants.
+    pub(crate) fn cancel(&mut self, now: Time, tasks: &[Task], out: &mut Vec<Action>) {
+        self.abandon(now, StopCause::Cancelled, |task| tasks.contains(&task), out);
+    }
+
+    /// Gives the tasks of a home up that can't be reached.
+    pub(crate) fn home_lost(&mut self, now: Time, home: Home, out: &mut Vec<Action>) {
+        self.abandon(now, StopCause::HomeLost, |task| task.job.home == home, out);
+    }
+
+    fn abandon(
+        &mut self,
+        now: Time,
+        why: StopCause,
+        matches: impl Fn(Task) -> bool,
+        out: &mut Vec<Action>,
+    ) {
+        for queued in self.queue.extract(|queued| matches(queued.task)) {
+            self.ends.push(queued.ended(End::NotRun));
+        }
+        let is_wanted = |live: &Live| live.task.is_some_and(&matches) && !live.is_being_stopped();
+        let runs: Vec<_> = self
+            .leases
+            .iter()
+            .flat_map(|(id, lease)| lease.runs.iter().map(move |(run, live)| (*id, run, live)))
+            .filter(|(_, _, live)| is_wanted(live))
+            .map(|(id, run, _)| (id, run.clone()))
+            .collect();
+        for (id, run) in runs {
+            self.stop(now, id, &run, why, out);
+        }
+    }
+
+    /// Sends a stop for a run, unless one is on its way.
+    pub(super) fn stop(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        run: &Run,
+        why: StopCause,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        let Some(live) = lease.runs.get_mut(run) else { return };
+        if matches!(live.state, State::Stopping | State::Stopped { .. }) {
+            return;
+        }
+        if live.stop.is_none() {
+            live.stop = Some(why);
+            out.push(Action::Log(Decision::StopRun {
+                run: run.to_string().into(),
+                executor: lease.executor.name.clone(),
+                why,
+            }));
+        }
+        live.state = State::Stopping;
+        out.push(Action::Stop { executor: id, run: run.clone(), token: lease.token });
+        if lease.looking.is_none() {
+            lease.look_at.get_or_insert(now + self.options.look_retry);
+        }
+    }
+
+    /// Takes the answer to a stop in.
+    pub(crate) fn stopped(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        run: &Run,
+        reply: Answered<()>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        match reply {
+            Answered::Done(()) => {
+                let Some(live) = lease.runs.get_mut(run) else { return };
+                live.state = State::Stopped { since: now };
+                if lease.looking.is_none() {
+                    lease.look_at = Some(now);
+                }
+            }
+            Answered::Fenced => self.fenced(now, id, out),
+            Answered::Gone => self.executor_gone(now, id, out),
+            Answered::Silent => {
+                let Some(live) = lease.runs.get_mut(run) else { return };
+                live.state = State::StopAgain { at: now + self.options.look_retry };
+            }
+        }
+    }
+
+    /// Tells the health of an executor what became of a run there.
+    pub(super) fn judge(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        live: &Live,
+        end: End,
+        how: Ending,
+        out: &mut Vec<Action>,
+    ) {
+        if live.task.is_none() {
+            return;
+        }
+        let what = match (end, how) {
+            (End::Done, _) => {
+                Observation::Done { elapsed: now.since(live.sent), expected: live.estimate }
+            }
+            (End::Failed, _) => Observation::Failed,
+            _ if live.stop == Some(StopCause::Overdue) => Observation::TimedOut,
+            (_, Ending::LeaseOver) => Observation::Lost,
+            _ => return self.health.withdraw(id),
+        };
+        let cause = live.task.map(|task| Cause(task.job.number ^ task.job.home.incarnation.0));
+        let attempt = Attempt { started: Some(live.sent), cause };
+        let change = self.health.observe_attempt(now, id, what, attempt);
+        self.note_health(id, change, out);
+    }
+
+    pub(super) fn note_health(&mut self, id: EndpointId, change: Change, out: &mut Vec<Action>) {
+        if change == Change::None {
+            return;
+        }
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        if let Change::Slow(factor) = change {
+            lease.slow = factor;
+        }
+        let executor = lease.executor.name.clone();
+        let change = format_compact!("{change:?}");
+        out.push(Action::Log(Decision::Health { executor, change }));
+    }
+}
--- /dev/null
+++ b/components/runs/src/message.rs
@@ -0,0 +1,148 @@
+//! What entries say to each other.
+
+use crate::job::{Run, Task};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use site::{
+    id::{EndpointId, ServiceId},
+    unit::{Resources, Revision, Span},
+};
+use std::sync::Arc;
+
+/// A message between two entries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// The receiver is to run tasks on executors that it keeps. It answers for each of them with
+    /// one [`Message::Ended`].
+    Place(Placement),
+    /// The answers for these tasks are no longer wanted; their runs are to be stopped.
+    Cancel(Vec<Task>),
+    /// What became of tasks that the receiver had placed.
+    Ended(Vec<Ended>),
+    /// What the sender's executors have room for, when it changed.
+    Report(Report),
+    /// The sender now keeps these executors.
+    Claim(Vec<EndpointId>),
+    /// What the sender knew of an executor that it keeps no longer.
+    Yield(Yield),
+    /// The sender is now the keeper of these tasks' runs.
+    Moved(Vec<Task>),
+    /// The operator's newest configuration, for entries that can't reach the platform's store.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// The document as it was read.
+        document: Arc<[u8]>,
+    },
+}
+
+/// Tasks of one job for one keeper.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The job.
+    pub job: crate::job::Key,
+    /// The caller's name of it.
+    pub name: CompactString,
+    /// What its tasks do.
+    pub spec: Arc<str>,
+    /// What each of them needs.
+    pub needs: Resources,
+    /// A label that their executor must have.
+    pub label: Option<CompactString>,
+    /// Most of them on one executor.
+    pub per_executor: Option<u16>,
+    /// How long each of them may run.
+    pub estimate: Span,
+    /// The executors' service.
+    pub service: ServiceId,
+    /// Time until the job's answer is late.
+    pub due_in: Span,
+    /// Time until nobody needs its answer.
+    pub give_up_in: Span,
+    /// The tasks.
+    pub tasks: Vec<Place>,
+}
+
+/// One task of a placement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Place {
+    /// Position in the job.
+    pub index: u16,
+    /// Number of its next run.
+    pub run: u32,
+    /// Where earlier runs of it went wrong.
+    pub avoid: Vec<EndpointId>,
+}
+
+/// What became of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Ended {
+    /// The task.
+    pub task: Task,
+    /// The number of its latest run, or of the one that it would have had.
+    pub run: u32,
+    /// Where it ran; `None` if nowhere.
+    pub executor: Option<EndpointId>,
+    /// How it ended.
+    pub end: End,
+}
+
+/// How a keeper's work on a task ended. Nothing of the task runs any more, except where it says
+/// so.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum End {
+    /// It ran to its end.
+    Done,
+    /// It ran and failed.
+    Failed,
+    /// It started and was broken off.
+    Lost,
+    /// It never started.
+    NotRun,
+    /// Another keeper has taken the executor over and is about to stop it.
+    Unsure,
+}
+
+/// What a keeper's executors have room for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Tasks of usual size that may be sent to it now.
+    pub room: u32,
+    /// Tasks of usual size that its executors can run at one time.
+    pub capacity: u32,
+    /// It is about to stop and must keep nothing.
+    pub leaving: bool,
+    /// The version of the configuration that it knows.
+    pub configuration: u64,
+    /// The newest revision of the platform's store that it has seen.
+    pub revision: Revision,
+}
+
+/// What a former keeper knew of an executor.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Yield {
+    /// The executor.
+    pub executor: EndpointId,
+    /// Ends up to here are known to all whom they concern.
+    pub acknowledged: u64,
+    /// Runs that are there, or may be.
+    pub runs: Vec<Yielded>,
+}
+
+/// One run that changes its keeper.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Yielded {
+    /// The run.
+    pub run: Run,
+    /// Whose.
+    pub task: Task,
+    /// What it occupies.
+    pub needs: Resources,
+    /// Its estimate.
+    pub estimate: Span,
+    /// How long ago it was started.
+    pub running_for: Span,
+    /// Time until nobody needs its answer.
+    pub give_up_in: Span,
+}
--- /dev/null
+++ b/components/runs/src/options.rs
@@ -0,0 +1,72 @@
+//! Limits of an entry's logic.
+
+use site::unit::Span;
+
+/// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Options {
+    /// Longest lease that an executor grants, on its own clock. Set by the platform.
+    pub lease: Span,
+    /// What is taken off a lease, for the way of the call and for slow clocks (2%).
+    pub lease_margin: Span,
+    /// How long an executor holds back its answer to a look while nothing ends. A third of what a
+    /// lease may last at most, so that two looks in a row may fail.
+    pub look_wait: Span,
+    /// Pause before an executor that did not answer a look is asked again.
+    pub look_retry: Span,
+    /// Pause before ends are acknowledged when nothing runs.
+    pub acknowledge_after: Span,
+    /// Pause before an executor is taken over, so that views that are still changing settle and
+    /// fewer executors change hands twice.
+    pub settle: Span,
+    /// How long the former keeper may take to hand an executor over before it is looked at
+    /// without.
+    pub claim_timeout: Span,
+    /// Pause before an executor whose fence refused this entry is claimed again.
+    pub fenced_pause: Span,
+    /// A look that was sent this long after a start and does not list it shows that the start is
+    /// late. Above the longest usual way to an executor.
+    pub start_grace: Span,
+    /// A run that takes this many times its estimate is stopped: tasks may stand still.
+    pub overdue_factor: u64,
+    /// Longest time that an executor takes to carry a stop out. Set by the platform.
+    pub stop_time: Span,
+    /// Added to the limit of a run's time, for short tasks.
+    pub overdue_margin: Span,
+    /// Tasks that a keeper queues beyond its room, so that no capacity idles while a home hears of
+    /// it.
+    pub queue_ahead: u32,
+    /// Least time between two reports of a keeper's room to its peers.
+    pub report_interval: Span,
+    /// A peer's report is repeated after this time without a change.
+    pub report_refresh: Span,
+    /// A process that did not run for this long has lost its leases and maybe its callers.
+    pub pause_limit: Span,
+    /// How long a home waits for the lease of a lost keeper's executors to lapse before it starts
+    /// their tasks again.
+    pub lapse_wait: Span,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            lease: Span::from_millis(1_000),
+            lease_margin: Span::from_millis(60),
+            look_wait: Span::from_millis(150),
+            look_retry: Span::from_millis(100),
+            acknowledge_after: Span::from_millis(400),
+            settle: Span::from_millis(200),
+            claim_timeout: Span::from_millis(300),
+            fenced_pause: Span::from_millis(1_000),
+            start_grace: Span::from_millis(40),
+            overdue_factor: 3,
+            stop_time: Span::from_millis(60),
+            overdue_margin: Span::from_millis(150),
+            queue_ahead: 1,
+            report_interval: Span::from_millis(15),
+            report_refresh: Span::from_millis(250),
+            pause_limit: Span::from_millis(900),
+            lapse_wait: Span::from_millis(400),
+        }
+    }
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -10,5 +10,5 @@
 mod names;
 
 pub use exporter::{Exporter, MetricsError};
-pub use log::{Format, Guard, Level, Log, LogError, start};
+pub use log::{Format, Guard, Level, Log, LogError, start, start_bounded};
 pub use names::Names;
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -96,7 +96,16 @@
 
 /// Starts the writer thread on `output`.
 pub fn start(output: impl Write + Send + 'static, level: Level) -> Result<(Log, Guard), LogError> {
-    let (lines, received) = sync_channel(CAPACITY);
+    start_bounded(output, level, CAPACITY)
+}
+
+/// Starts the writer thread on `output`. At most `capacity` lines wait for it.
+pub fn start_bounded(
+    output: impl Write + Send + 'static,
+    level: Level,
+    capacity: usize,
+) -> Result<(Log, Guard), LogError> {
+    let (lines, received) = sync_channel(capacity);
     let writer = thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || write_lines(&received, output))?;
@@ -112,6 +121,17 @@
         }
     }
 
+    /// Writes a line of JSON. Never waits.
+    pub fn json(&self, line: &impl Serialize) {
+        match serde_json::to_vec(line) {
+            Ok(mut text) => {
+                text.push(b'\n');
+                self.send(Line::Text(text));
+            }
+            Err(error) => tracing::error!(%error, "a log line can't be written as JSON"),
+        }
+    }
+
     /// Replaces the names that later decisions are written with.
     pub fn rename(&self, names: Names) {
         self.send(Line::Names(Arc::new(names)));
