--- a/components/link/src/node/dial.rs
+++ b/components/link/src/node/dial.rs
@@ -72,7 +72,11 @@
     }
 }
 
-async fn connect<M>(inner: &Inner<M>, entry: EntryId, address: SocketAddr) -> Result<Greeted, Error> {
+async fn connect<M>(
+    inner: &Inner<M>,
+    entry: EntryId,
+    address: SocketAddr,
+) -> Result<Greeted, Error> {
     let client = inner.client.read().clone();
     let connecting = inner.endpoint.connect_with(client, address, &tls::name(entry))?;
     let connection = within(inner.options.handshake_timeout, connecting)
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -78,6 +78,7 @@
         let name = match answer {
             Answer::Completed => "completed",
             Answer::Failed => "failed",
+            Answer::GivenUp => "given-up",
             Answer::Refused { .. } => "refused",
         };
         self.answers.add(1, &[KeyValue::new("answer", name)]);
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -52,13 +52,7 @@
     }
 
     /// Takes a job in.
-    pub(crate) fn submit(
-        &mut self,
-        now: Time,
-        waiter: WaiterId,
-        job: Job,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn submit(&mut self, now: Time, waiter: WaiterId, job: Job, out: &mut Vec<Action>) {
         self.next += 1;
         let key = Key { home: self.me, number: self.next };
         out.push(Action::Log(Decision::Admit {
@@ -182,31 +176,21 @@
                 _ => None,
             }
         };
-        let due: Vec<_> = self
-            .open
-            .iter()
-            .filter_map(|(number, open)| Some((*number, reason(open)?)))
-            .collect();
+        let due: Vec<_> =
+            self.open.iter().filter_map(|(number, open)| Some((*number, reason(open)?))).collect();
         due.into_iter().flat_map(|(number, why)| self.finish(now, number, why, out)).collect()
     }
 
     /// Answers a job's caller and forgets the job. Returns tasks of this entry's own executors to
     /// cancel.
-    fn finish(
-        &mut self,
-        now: Time,
-        number: u64,
-        why: Reason,
-        out: &mut Vec<Action>,
-    ) -> Vec<Task> {
+    fn finish(&mut self, now: Time, number: u64, why: Reason, out: &mut Vec<Action>) -> Vec<Task> {
         let Some(open) = self.open.remove(&number) else { return Vec::new() };
         self.waiters.remove(&open.waiter);
         let (answer, name) = match why {
             Reason::AllDone => (Answer::Completed, "completed"),
-            _ if open.is_untouched() => {
-                (Answer::Refused { retry_after: RETRY_AFTER }, "refused")
-            }
-            _ => (Answer::Failed, "failed"),
+            _ if open.is_untouched() => (Answer::Refused { retry_after: RETRY_AFTER }, "refused"),
+            Reason::Failures => (Answer::Failed, "failed"),
+            _ => (Answer::GivenUp, "given-up"),
         };
         out.push(Action::Log(Decision::Answer {
             job: open.job.name.clone(),
--- a/components/runs/src/job.rs
+++ b/components/runs/src/job.rs
@@ -99,8 +99,10 @@
 pub enum Answer {
     /// All tasks ended well.
     Completed,
-    /// A task failed too often, or the job can't end in time any more.
+    /// A task failed as often as it may.
     Failed,
+    /// Tasks have run, and the job can't end in time any more.
+    GivenUp,
     /// No task has started and none ever will.
     Refused {
         /// When another try makes sense.
--- a/components/runs/src/keeper/hold.rs
+++ b/components/runs/src/keeper/hold.rs
@@ -102,8 +102,7 @@
             log_keep(lease, KeepChange::Ready, out);
         }
         let listed = |run: &Run| lists.running.contains(run);
-        let missing: Vec<_> =
-            lease.runs.keys().filter(|run| !listed(run)).cloned().collect();
+        let missing: Vec<_> = lease.runs.keys().filter(|run| !listed(run)).cloned().collect();
         for run in missing {
             self.judge_missing(now, id, sent, &run, out);
         }
@@ -200,11 +199,8 @@
             State::Running { .. } if overdue(live) => Some(StopCause::Overdue),
             _ => None,
         };
-        let wishes: Vec<_> = lease
-            .runs
-            .iter()
-            .filter_map(|(run, live)| Some((run.clone(), wish(live)?)))
-            .collect();
+        let wishes: Vec<_> =
+            lease.runs.iter().filter_map(|(run, live)| Some((run.clone(), wish(live)?))).collect();
         for run in over {
             self.end_run(now, id, &run, End::Lost, Ending::Missing, out);
         }
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -68,7 +68,8 @@
             return 0;
         }
         let free = |lease: &Lease| lease.free().count(&self.typical);
-        let usable = |lease: &&Lease| lease.is_usable(now) && self.health.is_open(lease.executor.id);
+        let usable =
+            |lease: &&Lease| lease.is_usable(now) && self.health.is_open(lease.executor.id);
         let free: u32 = self.leases.values().filter(usable).map(free).sum();
         (free + self.options.queue_ahead).saturating_sub(self.queue.len() as u32)
     }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -18,6 +18,9 @@
 /// list, which shows what occupies it.
 const FULL_PAUSE: Span = Span::from_millis(100);
 
+/// By how much the number of a run rises when the executor knows of a higher one.
+const OLD_RUN_STEP: u32 = 50;
+
 /// By how much one start moves their usual time, as a divisor.
 const START_TIME_WEIGHT: u64 = 8;
 
@@ -161,10 +164,21 @@
                 lease.look_at.get_or_insert(now);
             }
             Refusal::Fenced => return self.fenced(now, id, out),
-            Refusal::OldRun | Refusal::Unhealthy | Refusal::Invalid => {}
+            Refusal::OldRun => return self.old_run(now, id, run, out),
+            Refusal::Unhealthy | Refusal::Invalid => {}
         }
         self.end_run(now, id, run, End::NotRun, Ending::Missing, out);
     }
+
+    /// A run of the task with a higher number was there: its caller's earlier try reached another
+    /// entry.
+    fn old_run(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
+        let before = self.ends.len();
+        self.end_run(now, id, run, End::NotRun, Ending::Missing, out);
+        if let Some(ended) = self.ends.get_mut(before) {
+            ended.run += OLD_RUN_STEP;
+        }
+    }
 }
 
 /// A span on an executor that takes `factor` times as long as others.
