--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -133,7 +133,10 @@
                 self.view_changed(now, changed, out);
             }
             Message::Claim(executors) => self.keeper.hand_over(now, from, &executors, out),
-            Message::Yield(yielded) => self.keeper.take_over(now, yielded, out),
+            Message::Yield(yielded) => {
+                let moved = self.keeper.take_over(now, yielded, out);
+                self.tell_moved(moved, out);
+            }
             Message::Moved(tasks) => self.jobs.moved(from, &tasks),
             // Dealt with by the process, which reads the document.
             Message::Configuration { .. } => {}
@@ -227,6 +230,17 @@
         out.extend(homes.into_iter().map(send));
     }
 
+    fn tell_moved(&mut self, tasks: Vec<Task>, out: &mut Vec<Action>) {
+        let mut homes: FxHashMap<Home, Vec<Task>> = FxHashMap::default();
+        for task in tasks {
+            homes.entry(task.job.home).or_default().push(task);
+        }
+        let own = homes.remove(&self.me).unwrap_or_default();
+        self.jobs.moved(self.me, &own);
+        let send = |(to, tasks)| Action::Send { to, message: Message::Moved(tasks) };
+        out.extend(homes.into_iter().map(send));
+    }
+
     fn report(&self, now: Time) -> Report {
         Report {
             room: self.keeper.room(now),
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -165,14 +165,19 @@
         }
     }
 
-    /// Takes over what a former keeper knew of an executor.
-    pub(crate) fn take_over(&mut self, now: Time, yielded: Yield, out: &mut Vec<Action>) {
-        let Some(lease) = self.leases.get_mut(&yielded.executor) else { return };
+    /// Takes over what a former keeper knew of an executor. Returns the tasks that it had there.
+    pub(crate) fn take_over(
+        &mut self,
+        now: Time,
+        yielded: Yield,
+        out: &mut Vec<Action>,
+    ) -> Vec<Task> {
+        let Some(lease) = self.leases.get_mut(&yielded.executor) else { return Vec::new() };
         if !matches!(lease.phase, Phase::Claiming { .. } | Phase::Looking) {
-            return;
+            return Vec::new();
         }
         lease.acknowledged = lease.acknowledged.max(yielded.acknowledged);
-        let mut moved: FxHashMap<Home, Vec<Task>> = FxHashMap::default();
+        let mut moved = Vec::new();
         for entry in yielded.runs {
             let live = Live {
                 task: Some(entry.task),
@@ -186,13 +191,12 @@
             };
             self.health.may_use(now, yielded.executor);
             lease.insert(entry.run, live);
-            moved.entry(entry.task.job.home).or_default().push(entry.task);
+            moved.push(entry.task);
         }
-        let moved = moved.into_iter();
-        out.extend(moved.map(|(to, tasks)| Action::Send { to, message: Message::Moved(tasks) }));
         if matches!(lease.phase, Phase::Claiming { .. }) {
             self.begin_look(now, yielded.executor, out);
         }
+        moved
     }
 
     /// The process did not run for a while: its leases may have lapsed and what waits is stale.
--- /dev/null
+++ b/components/runs/tests/common/executor.rs
@@ -0,0 +1,172 @@
+//! An executor as the platform describes it: leases, fences, lists of ends.
+
+use runs::{
+    action::{Look, Start},
+    executor::{Answered, Ended, How, Lists, Refusal, Started},
+    job::Run,
+};
+use site::unit::{Resources, Time};
+use std::collections::BTreeMap;
+
+/// Longest lease, in milliseconds of the executor's clock.
+const LEASE_MOST: u64 = 1_000;
+
+/// How long a stop takes.
+const STOP_US: u64 = 30_000;
+
+/// A run that is there.
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    pub ends: Time,
+    pub how: How,
+    pub needs: Resources,
+}
+
+/// One life of an executor.
+#[derive(Debug)]
+pub(crate) struct Fake {
+    pub capacity: Resources,
+    /// The clock runs this many parts in a thousand slow.
+    pub slow: u64,
+    offset: u64,
+    pub running: BTreeMap<Run, Running>,
+    ended: Vec<Ended>,
+    next: u64,
+    fence: u64,
+    deadline: u64,
+    /// Highest run of each task that ended or was stopped.
+    past: BTreeMap<(String, u16), u32>,
+    /// It takes orders, but neither carries them out nor answers.
+    pub dark_until: Time,
+    /// Whether it is up.
+    pub up: bool,
+    /// Tasks take this many times as long.
+    pub factor: u64,
+    /// It fails all that it starts.
+    pub fails: bool,
+}
+
+impl Fake {
+    pub(crate) fn new(capacity: Resources, slow: u64, offset: u64) -> Self {
+        Self {
+            capacity,
+            slow,
+            offset,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next: 1,
+            fence: 0,
+            deadline: 0,
+            past: BTreeMap::new(),
+            dark_until: Time(0),
+            up: true,
+            factor: 1,
+            fails: false,
+        }
+    }
+
+    pub(crate) fn clock(&self, now: Time) -> u64 {
+        self.offset + now.0 / 1_000 * (1_000 - self.slow) / 1_000
+    }
+
+    /// Ends what is due, and everything if the lease has lapsed. Returns when it changed.
+    pub(crate) fn settle(&mut self, now: Time) {
+        let lapsed = self.clock(now) > self.deadline;
+        let due: Vec<_> = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.ends <= now || lapsed)
+            .map(|(run, running)| (run.clone(), if running.ends <= now { running.how } else { How::Lapsed }))
+            .collect();
+        for (run, how) in due {
+            self.end(run, how);
+        }
+    }
+
+    fn end(&mut self, run: Run, how: How) {
+        self.running.remove(&run);
+        self.note_past(&run);
+        self.ended.push(Ended { number: self.next, run: Some(run), how });
+        self.next += 1;
+    }
+
+    fn note_past(&mut self, run: &Run) {
+        let past = self.past.entry((run.job.to_string(), run.index)).or_default();
+        *past = (*past).max(run.number);
+    }
+
+    fn extend(&mut self, now: Time, deadline: u64) {
+        let most = self.clock(now) + LEASE_MOST;
+        self.deadline = self.deadline.max(deadline.min(most));
+    }
+
+    fn used(&self) -> Resources {
+        self.running.values().fold(Resources::default(), |sum, running| sum.plus(&running.needs))
+    }
+
+    /// Carries a start out. `length` is how long the task takes.
+    pub(crate) fn start(&mut self, now: Time, start: &Start, needs: Resources, length: u64) -> Started {
+        self.settle(now);
+        let clock = self.clock(now);
+        let refused = |why| Started::Refused { clock: Some(clock), why };
+        if start.token < self.fence {
+            return refused(Refusal::Fenced);
+        }
+        self.fence = start.token;
+        if self.running.contains_key(&start.run) {
+            return Started::Running { clock };
+        }
+        if start.deadline < clock {
+            return refused(Refusal::Late);
+        }
+        self.extend(now, start.deadline);
+        let past = self.past.get(&(start.run.job.to_string(), start.run.index));
+        if past.is_some_and(|past| *past >= start.run.number) {
+            return refused(Refusal::OldRun);
+        }
+        if !self.capacity.minus(&self.used()).fits(&needs) {
+            return refused(Refusal::Room);
+        }
+        let how = if self.fails { How::Failed } else { How::Done };
+        let length = if self.fails { 5_000 } else { length * self.factor };
+        let running = Running { ends: Time(now.0 + length), how, needs };
+        self.running.insert(start.run.clone(), running);
+        Started::Running { clock }
+    }
+
+    pub(crate) fn stop(&mut self, now: Time, run: &Run, token: u64) -> Answered<()> {
+        self.settle(now);
+        if token < self.fence {
+            return Answered::Fenced;
+        }
+        self.fence = token;
+        self.note_past(run);
+        if let Some(running) = self.running.get_mut(run) {
+            running.ends = running.ends.min(Time(now.0 + STOP_US));
+            running.how = How::Stopped;
+        }
+        Answered::Done(())
+    }
+
+    pub(crate) fn look(&mut self, now: Time, look: &Look) -> Answered<Lists> {
+        self.settle(now);
+        if look.token < self.fence {
+            return Answered::Fenced;
+        }
+        self.fence = look.token;
+        if let Some(deadline) = look.deadline {
+            self.extend(now, deadline);
+        }
+        self.ended.retain(|ended| ended.number > look.acknowledged);
+        Answered::Done(Lists {
+            clock: self.clock(now),
+            running: self.running.keys().cloned().collect(),
+            ended: self.ended.clone(),
+        })
+    }
+
+    /// Whether a look that may wait has something to say.
+    pub(crate) fn has_news(&self, acknowledged: u64) -> bool {
+        self.ended.iter().any(|ended| ended.number > acknowledged)
+    }
+}
--- /dev/null
+++ b/components/runs/tests/common/mod.rs
@@ -0,0 +1,8 @@
+//! Entries, executors and callers in virtual time.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+pub(crate) mod executor;
+pub(crate) mod world;
+
+pub(crate) use world::{Fault, Plan, World};
--- /dev/null
+++ b/components/runs/tests/common/world.rs
@@ -0,0 +1,758 @@
+//! A site of entries and executors in virtual time. What it checks holds at every moment: no task
+//! runs twice at a time, no refused job ever runs, each caller gets one answer in time, and only
+//! whole jobs are called complete.
+
+use super::executor::Fake;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use runs::{
+    Action, Entry, Event, Executor, Job, Message, Options,
+    action::{Look, Start},
+    entry::TICK,
+    executor::{Answered, Started},
+    job::{Answer, Run},
+};
+use site::{
+    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId, WaiterId},
+    unit::{Cores, Memory, Resources, Revision, Slots, Span, Time},
+};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+};
+
+/// One way of a message or an order.
+const WAY_US: u64 = 1_000;
+/// A peer that is silent for this long is lost.
+const PEER_IDLE_US: u64 = 800_000;
+/// An order without an answer is given up after this time.
+const ORDER_US: u64 = 300_000;
+/// A caller hands its job in again this long after a break.
+const RESEND_US: u64 = 1_300_000;
+/// A registration outlives its process for this long.
+const REGISTRATION_US: u64 = 2_000_000;
+/// How late an answer may be against the job's own limit.
+const ANSWER_SLACK_US: u64 = 100_000;
+
+/// What a day consists of.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub entries: usize,
+    pub data_centres: usize,
+    pub executors: usize,
+    /// Jobs a second.
+    pub rate: u64,
+    pub seconds: u64,
+    /// One order in this many gets no answer, or is carried out late.
+    pub lost_orders: Option<u32>,
+    pub faults: Vec<(u64, Fault)>,
+}
+
+/// Something that goes wrong at a moment, for a while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    /// A process is killed and starts again after 500 ms.
+    Kill { entry: usize },
+    /// A process stands still.
+    Freeze { entry: usize, ms: u64 },
+    /// An entry can't reach the others.
+    Cut { entry: usize, ms: u64 },
+    /// An executor neither acts nor answers.
+    Dark { executor: usize, ms: u64 },
+    /// An executor dies; another life follows after 500 ms.
+    Crash { executor: usize },
+    /// An executor fails all that it starts.
+    Fails { executor: usize, ms: u64 },
+    /// An executor takes many times as long.
+    Slow { executor: usize, ms: u64, factor: u64 },
+    /// An executor is to be emptied.
+    Leave { executor: usize },
+    /// A process is told to stop.
+    Drain { entry: usize },
+    /// A caller leaves.
+    GiveUp,
+}
+
+struct Node {
+    home: Home,
+    entry: Option<Entry>,
+    frozen_until: Time,
+    cut_until: Time,
+    listed: bool,
+    exited: bool,
+}
+
+struct Slot {
+    executor: Executor,
+    fake: Fake,
+    life: u32,
+}
+
+struct Caller {
+    node: usize,
+    job: Job,
+    answered: bool,
+    left: bool,
+}
+
+#[derive(Debug)]
+enum Step {
+    Feed(usize, Incarnation, Event),
+    Deliver { from: Home, to: usize, message: Message },
+    Order(usize, Incarnation, Order),
+    Submit,
+    Again(Job),
+    Tick(usize, Incarnation),
+    Fault(Fault),
+    Unfault(Fault),
+    Restart(usize),
+    Lapse(usize, Incarnation),
+    LinkDown(usize, Home),
+    LinkUp(usize, usize),
+    Revive(usize),
+}
+
+#[derive(Clone, Debug)]
+enum Order {
+    Start(Start),
+    Stop { executor: EndpointId, run: Run, token: u64 },
+    Look(Look, Time),
+}
+
+pub(crate) struct World {
+    pub now: Time,
+    plan: Plan,
+    random: ChaCha8Rng,
+    steps: BinaryHeap<Reverse<(Time, u64)>>,
+    content: BTreeMap<u64, Step>,
+    next: u64,
+    nodes: Vec<Node>,
+    slots: Vec<Slot>,
+    links: BTreeSet<(Home, Home)>,
+    callers: BTreeMap<u64, Caller>,
+    revision: u64,
+    next_job: u64,
+    /// Starts by job name.
+    started: BTreeMap<String, u64>,
+    refused: BTreeSet<String>,
+    /// Jobs whose caller saw a break.
+    broken: BTreeSet<String>,
+    done: BTreeSet<(String, u16)>,
+    pub answers: BTreeMap<&'static str, u64>,
+    pub starts: u64,
+    pub waste: u64,
+}
+
+pub(crate) fn service() -> ServiceId {
+    ServiceId::of("service")
+}
+
+pub(crate) fn needs() -> Resources {
+    Resources { slots: Slots(1), cores: Cores(27_000), memory: Memory(64 << 20), ..Default::default() }
+}
+
+fn capacity(index: usize) -> Resources {
+    let cores = if index % 3 == 2 { 96_000 } else { 64_000 };
+    Resources { slots: Slots(8), cores: Cores(cores), memory: Memory(256 << 30), ..Default::default() }
+}
+
+impl World {
+    pub(crate) fn new(plan: Plan, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = (0..plan.entries).map(|index| Node {
+            home: home(index, plan.data_centres, random.random()),
+            entry: None,
+            frozen_until: Time(0),
+            cut_until: Time(0),
+            listed: false,
+            exited: false,
+        });
+        let nodes = nodes.collect();
+        let slots = (0..plan.executors).map(|index| Slot {
+            executor: executor(index, 0, plan.data_centres),
+            fake: Fake::new(capacity(index), [0, 10, 20][index % 3], random.random_range(0..1_000_000)),
+            life: 0,
+        });
+        let slots = slots.collect();
+        let mut world = Self {
+            now: Time(1_000_000),
+            plan,
+            random,
+            steps: BinaryHeap::new(),
+            content: BTreeMap::new(),
+            next: 0,
+            nodes,
+            slots,
+            links: BTreeSet::new(),
+            callers: BTreeMap::new(),
+            revision: 1,
+            next_job: 0,
+            started: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            broken: BTreeSet::new(),
+            done: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            starts: 0,
+            waste: 0,
+        };
+        for node in 0..world.nodes.len() {
+            world.boot(node);
+        }
+        let begin = 3_000_000;
+        world.at(Time(begin), Step::Submit);
+        for (ms, fault) in world.plan.faults.clone() {
+            world.at(Time(begin + ms * 1_000), Step::Fault(fault));
+        }
+        world
+    }
+
+    /// Plays the day and some time after it, so that everything can end.
+    pub(crate) fn play(&mut self) {
+        let end = Time(3_000_000 + self.plan.seconds * 1_000_000 + 9_000_000);
+        while let Some(Reverse((time, number))) = self.steps.pop() {
+            if time > end {
+                break;
+            }
+            self.now = time;
+            if let Some(step) = self.content.remove(&number) {
+                self.step(step);
+            }
+        }
+        let open: Vec<_> = self
+            .callers
+            .values()
+            .filter(|caller| !caller.answered && !caller.left)
+            .map(|caller| &caller.job.name)
+            .collect();
+        assert!(open.is_empty(), "jobs without an answer: {open:?}");
+        let running: usize = self.slots.iter_mut().map(|slot| {
+            slot.fake.settle(end);
+            slot.fake.running.len()
+        }).sum();
+        assert_eq!(running, 0, "runs without a job");
+    }
+
+    fn at(&mut self, time: Time, step: Step) {
+        self.next += 1;
+        self.content.insert(self.next, step);
+        self.steps.push(Reverse((time.max(self.now), self.next)));
+    }
+
+    fn after(&mut self, us: u64, step: Step) {
+        self.at(Time(self.now.0 + us), step);
+    }
+
+    fn boot(&mut self, node: usize) {
+        let now = self.now;
+        let fresh: u64 = self.random.random();
+        let entry = &mut self.nodes[node];
+        entry.home.incarnation = Incarnation(fresh);
+        entry.entry = Some(Entry::new(entry.home, Options::default(), now));
+        entry.listed = true;
+        entry.exited = false;
+        let incarnation = entry.home.incarnation;
+        self.after(TICK.0, Step::Tick(node, incarnation));
+        let executors = self.executors();
+        self.feed(node, Event::Executors(executors));
+        self.tell_members();
+        for other in 0..self.nodes.len() {
+            self.after(20_000, Step::LinkUp(node, other));
+        }
+    }
+
+    fn executors(&self) -> Vec<Executor> {
+        self.slots.iter().map(|slot| slot.executor.clone()).collect()
+    }
+
+    fn tell_executors(&mut self) {
+        for node in 0..self.nodes.len() {
+            let event = Event::Executors(self.executors());
+            let incarnation = self.nodes[node].home.incarnation;
+            self.after(5_000, Step::Feed(node, incarnation, event));
+        }
+    }
+
+    fn tell_members(&mut self) {
+        self.revision += 1;
+        let members: Vec<_> =
+            self.nodes.iter().filter(|node| node.listed).map(|node| node.home).collect();
+        for node in 0..self.nodes.len() {
+            let event =
+                Event::Members { revision: Revision(self.revision), members: members.clone() };
+            let incarnation = self.nodes[node].home.incarnation;
+            self.after(5_000, Step::Feed(node, incarnation, event));
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Feed(node, incarnation, event) => {
+                if self.nodes[node].home.incarnation == incarnation {
+                    self.feed(node, event);
+                }
+            }
+            Step::Tick(node, incarnation) => {
+                if self.nodes[node].home.incarnation == incarnation && self.is_up(node) {
+                    self.feed(node, Event::Tick);
+                    self.after(TICK.0, Step::Tick(node, incarnation));
+                }
+            }
+            Step::Deliver { from, to, message } => {
+                if self.links.contains(&(from, self.nodes[to].home)) {
+                    self.feed(to, Event::Message { from, message });
+                }
+            }
+            Step::Order(node, incarnation, order) => self.order(node, incarnation, order),
+            Step::Submit => self.submit_fresh(),
+            Step::Again(job) => self.submit(job),
+            Step::Fault(fault) => self.fault(fault),
+            Step::Unfault(fault) => self.unfault(fault),
+            Step::Restart(node) => self.boot(node),
+            Step::Lapse(node, incarnation) => {
+                if self.nodes[node].home.incarnation == incarnation && !self.is_up(node) {
+                    self.nodes[node].listed = false;
+                    self.tell_members();
+                }
+            }
+            Step::LinkDown(node, peer) => {
+                let me = self.nodes[node].home;
+                if self.links.remove(&(peer, me)) {
+                    self.feed(node, Event::PeerDown { peer });
+                }
+            }
+            Step::LinkUp(a, b) => self.link(a, b),
+            Step::Revive(slot) => {
+                let life = self.slots[slot].life + 1;
+                let offset = self.random.random_range(0..1_000_000);
+                self.slots[slot] = Slot {
+                    executor: executor(slot, life, self.plan.data_centres),
+                    fake: Fake::new(capacity(slot), 10, offset),
+                    life,
+                };
+                self.tell_executors();
+            }
+        }
+    }
+
+    fn is_up(&self, node: usize) -> bool {
+        self.nodes[node].entry.is_some()
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.nodes[a].cut_until > self.now || self.nodes[b].cut_until > self.now
+    }
+
+    fn link(&mut self, a: usize, b: usize) {
+        if a == b || !self.is_up(a) || !self.is_up(b) {
+            return;
+        }
+        if self.is_cut(a, b) {
+            self.after(100_000, Step::LinkUp(a, b));
+            return;
+        }
+        let (first, second) = (self.nodes[a].home, self.nodes[b].home);
+        for (node, peer, me) in [(a, second, first), (b, first, second)] {
+            if self.links.insert((peer, me)) {
+                self.feed(node, Event::PeerUp { peer });
+            }
+        }
+    }
+
+    fn feed(&mut self, node: usize, event: Event) {
+        let entry = &self.nodes[node];
+        if entry.entry.is_none() {
+            return;
+        }
+        if entry.frozen_until > self.now {
+            let (until, incarnation) = (entry.frozen_until, entry.home.incarnation);
+            self.at(until, Step::Feed(node, incarnation, event));
+            return;
+        }
+        let mut actions = Vec::new();
+        let now = self.now;
+        if let Some(entry) = &mut self.nodes[node].entry {
+            entry.handle(now, event, &mut actions);
+        }
+        for action in actions {
+            self.carry_out(node, action);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, action: Action) {
+        let home = self.nodes[node].home;
+        let incarnation = home.incarnation;
+        match action {
+            Action::Start(start) => {
+                self.after(WAY_US, Step::Order(node, incarnation, Order::Start(start)));
+            }
+            Action::Stop { executor, run, token } => {
+                let order = Order::Stop { executor, run, token };
+                self.after(WAY_US, Step::Order(node, incarnation, order));
+            }
+            Action::Look(look) => {
+                let until = Time(self.now.0 + WAY_US + look.wait.0);
+                let order = Order::Look(look, until);
+                self.after(WAY_US, Step::Order(node, incarnation, order));
+            }
+            Action::Answer { waiter, answer } => self.answer(waiter, answer),
+            Action::Send { to, message } => {
+                let Some(peer) = self.nodes.iter().position(|node| node.home == to) else { return };
+                if !self.is_cut(node, peer) {
+                    self.after(WAY_US, Step::Deliver { from: home, to: peer, message });
+                }
+            }
+            Action::Log(decision) => println!("{} {node} {decision:?}", self.now),
+            Action::Exit => self.nodes[node].exited = true,
+        }
+    }
+
+    fn order(&mut self, node: usize, incarnation: Incarnation, order: Order) {
+        let now = self.now;
+        let id = match &order {
+            Order::Start(start) => start.executor,
+            Order::Stop { executor, .. } => *executor,
+            Order::Look(look, _) => look.executor,
+        };
+        let slot = self.slots.iter().position(|slot| slot.executor.id == id);
+        let Some(slot) = slot.filter(|slot| self.slots[*slot].fake.up) else {
+            return self.reply(node, incarnation, gone(&order), WAY_US);
+        };
+        if self.slots[slot].fake.dark_until > now {
+            return self.reply(node, incarnation, silent(&order), ORDER_US);
+        }
+        let lost = self.plan.lost_orders.is_some_and(|one_in| self.random.random_ratio(1, one_in));
+        if lost {
+            self.reply(node, incarnation, silent(&order), ORDER_US);
+            // Half of them are carried out seconds later, by nobody who waits.
+            if self.random.random_bool(0.5) {
+                let late = self.random.random_range(2_000_000..6_000_000);
+                self.after(late, Step::Order(node, Incarnation(u64::MAX), order));
+            } else if !matches!(order, Order::Look(..)) {
+                let event = self.carry_order(slot, &order);
+                drop(event);
+            }
+            return;
+        }
+        if let Order::Look(look, until) = &order
+            && *until > now
+            && !self.slots[slot].fake.has_news(look.acknowledged)
+        {
+            self.slots[slot].fake.settle(now);
+            if !self.slots[slot].fake.has_news(look.acknowledged) {
+                return self.after(2_000, Step::Order(node, incarnation, order));
+            }
+        }
+        let event = self.carry_order(slot, &order);
+        self.reply(node, incarnation, event, WAY_US);
+    }
+
+    fn carry_order(&mut self, slot: usize, order: &Order) -> Event {
+        let now = self.now;
+        match order {
+            Order::Start(start) => {
+                let length = self.length(&start.run);
+                let before = self.slots[slot].fake.running.contains_key(&start.run);
+                let reply = self.slots[slot].fake.start(now, start, needs(), length);
+                if matches!(reply, Started::Running { .. }) && !before {
+                    self.check_start(slot, &start.run);
+                }
+                Event::Started { executor: start.executor, run: start.run.clone(), reply }
+            }
+            Order::Stop { executor, run, token } => {
+                let reply = self.slots[slot].fake.stop(now, run, *token);
+                Event::Stopped { executor: *executor, run: run.clone(), reply }
+            }
+            Order::Look(look, _) => {
+                let reply = self.slots[slot].fake.look(now, look);
+                if let Answered::Done(lists) = &reply {
+                    for ended in &lists.ended {
+                        if let Some(run) = &ended.run
+                            && ended.how == runs::executor::How::Done
+                        {
+                            self.done.insert((run.job.to_string(), run.index));
+                        }
+                    }
+                }
+                Event::Looked { executor: look.executor, reply }
+            }
+        }
+    }
+
+    fn reply(&mut self, node: usize, incarnation: Incarnation, event: Event, us: u64) {
+        self.after(us, Step::Feed(node, incarnation, event));
+    }
+
+    /// How long a task takes, alike on each run.
+    fn length(&self, run: &Run) -> u64 {
+        let digits = u64::from_str_radix(&run.job, 16).unwrap_or(0);
+        let base = [60_000, 200_000, 200_000, 900_000][(digits % 4) as usize];
+        base + base * (digits % 41) / 100
+    }
+
+    fn check_start(&mut self, slot: usize, run: &Run) {
+        self.starts += 1;
+        let now = self.now;
+        for other in 0..self.slots.len() {
+            self.slots[other].fake.settle(now);
+            let fake = &self.slots[other].fake;
+            let twin = fake.running.keys().find(|there| {
+                there.job == run.job && there.index == run.index && (other != slot || *there != run)
+            });
+            assert!(
+                twin.is_none() || !fake.up,
+                "at {now}: {run} starts on {slot} while {twin:?} runs on {other}"
+            );
+        }
+        assert!(!self.refused.contains(run.job.as_str()), "{run} starts after a refusal");
+        *self.started.entry(run.job.to_string()).or_default() += 1;
+    }
+
+    fn submit_fresh(&mut self) {
+        let gap = 1_000_000 / self.plan.rate;
+        let end = 3_000_000 + self.plan.seconds * 1_000_000;
+        if self.now.0 + gap < end {
+            let gap = self.random.random_range(gap / 2..gap * 3 / 2);
+            self.after(gap, Step::Submit);
+        }
+        self.next_job += 1;
+        let name = format!("{:016x}", self.next_job * 977);
+        let digits = self.next_job * 977;
+        let (tasks, ms) = [(8, 60), (2, 200), (2, 200), (4, 900)][(digits % 4) as usize];
+        let estimate = Span::from_millis(ms * self.random.random_range(60..140) / 100);
+        let objective = Span(estimate.0 * 8 / 5 + 60_000);
+        let job = Job {
+            name: name.into(),
+            spec: "x".into(),
+            tasks,
+            needs: needs(),
+            label: None,
+            per_executor: None,
+            estimate,
+            service: service(),
+            priority: 0,
+            max_failures: 4,
+            due: self.now + objective,
+            give_up: self.now + Span(objective.0 * 3),
+            first_run: 1,
+        };
+        self.submit(job);
+    }
+
+    fn submit(&mut self, mut job: Job) {
+        let up: Vec<_> = (0..self.nodes.len())
+            .filter(|node| self.is_up(*node) && !self.nodes[*node].exited)
+            .collect();
+        if up.is_empty() || job.give_up.0 < self.now.0 {
+            return;
+        }
+        let node = up[self.random.random_range(0..up.len())];
+        job.first_run += self.next_job as u32 % 3;
+        let waiter = self.callers.len() as u64 + 1;
+        let caller = Caller { node, job: job.clone(), answered: false, left: false };
+        self.callers.insert(waiter, caller);
+        self.feed(node, Event::Submit { waiter: WaiterId(waiter), job });
+    }
+
+    fn answer(&mut self, waiter: WaiterId, answer: Answer) {
+        let Some(caller) = self.callers.get_mut(&waiter.0) else { panic!("no such caller") };
+        if caller.left {
+            return;
+        }
+        assert!(!caller.answered, "a second answer");
+        caller.answered = true;
+        let frozen = self.nodes[caller.node].frozen_until.0 + 1_000_000 > self.now.0;
+        let job = caller.job.clone();
+        assert!(
+            frozen || self.now.0 <= job.give_up.0 + ANSWER_SLACK_US,
+            "{} is answered too late: {} after {}", job.name, self.now, job.give_up
+        );
+        let name = match answer {
+            Answer::Completed => "completed",
+            Answer::Failed => "failed",
+            Answer::GivenUp => "given-up",
+            Answer::Refused { .. } => "refused",
+        };
+        *self.answers.entry(name).or_default() += 1;
+        match answer {
+            Answer::Completed => {
+                for index in 0..job.tasks {
+                    let key = (job.name.to_string(), index);
+                    assert!(self.done.contains(&key), "{key:?} is complete and has not run");
+                }
+            }
+            Answer::Refused { .. } => {
+                // A caller whose first try broke knows that it may have run.
+                if self.broken.contains(job.name.as_str()) {
+                    return;
+                }
+                let starts = self.started.get(job.name.as_str());
+                assert!(starts.is_none(), "{} is refused after {starts:?} starts", job.name);
+                self.refused.insert(job.name.to_string());
+            }
+            Answer::GivenUp | Answer::Failed => {}
+        }
+    }
+
+    /// A process is gone: its callers see a break and come again.
+    fn lose(&mut self, node: usize) {
+        let mut again = Vec::new();
+        for caller in self.callers.values_mut() {
+            if caller.node == node && !caller.answered && !caller.left {
+                caller.left = true;
+                let mut job = caller.job.clone();
+                job.first_run += 20;
+                self.broken.insert(job.name.to_string());
+                again.push(job);
+            }
+        }
+        for mut job in again {
+            // Long patience, so that a second try meets what is left of the first one.
+            job.give_up = Time(self.now.0 + RESEND_US + 3_000_000);
+            self.after(RESEND_US, Step::Again(job));
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill { entry } => {
+                if self.nodes[entry].entry.take().is_none() {
+                    return;
+                }
+                let home = self.nodes[entry].home;
+                self.lose(entry);
+                for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+                    self.after(PEER_IDLE_US, Step::LinkDown(node, home));
+                }
+                self.links.retain(|(_, to)| *to != home);
+                self.after(REGISTRATION_US, Step::Lapse(entry, home.incarnation));
+                self.after(500_000, Step::Restart(entry));
+            }
+            Fault::Freeze { entry, ms } => {
+                let until = Time(self.now.0 + ms * 1_000);
+                self.nodes[entry].frozen_until = until;
+                if ms * 1_000 > PEER_IDLE_US {
+                    let home = self.nodes[entry].home;
+                    for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+                        self.after(PEER_IDLE_US, Step::LinkDown(node, home));
+                        let peer = self.nodes[node].home;
+                        self.at(until, Step::LinkDown(entry, peer));
+                        self.at(Time(until.0 + 50_000), Step::LinkUp(entry, node));
+                    }
+                }
+            }
+            Fault::Cut { entry, ms } => {
+                self.nodes[entry].cut_until = Time(self.now.0 + ms * 1_000);
+                if ms * 1_000 > PEER_IDLE_US {
+                    let home = self.nodes[entry].home;
+                    for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+                        let peer = self.nodes[node].home;
+                        self.after(PEER_IDLE_US, Step::LinkDown(node, home));
+                        self.after(PEER_IDLE_US, Step::LinkDown(entry, peer));
+                        self.after(ms * 1_000 + 50_000, Step::LinkUp(entry, node));
+                    }
+                }
+            }
+            Fault::Dark { executor, ms } => {
+                self.slots[executor].fake.dark_until = Time(self.now.0 + ms * 1_000);
+            }
+            Fault::Crash { executor } => {
+                let fake = &mut self.slots[executor].fake;
+                fake.up = false;
+                fake.running.clear();
+                self.after(500_000, Step::Revive(executor));
+            }
+            Fault::Fails { executor, ms } => {
+                self.slots[executor].fake.fails = true;
+                self.after(ms * 1_000, Step::Unfault(fault));
+            }
+            Fault::Slow { executor, ms, factor } => {
+                self.slots[executor].fake.factor = factor;
+                self.after(ms * 1_000, Step::Unfault(fault));
+            }
+            Fault::Leave { executor } => {
+                self.slots[executor].executor.leaving = true;
+                self.tell_executors();
+            }
+            Fault::Drain { entry } => self.feed(entry, Event::Drain),
+            Fault::GiveUp => self.give_up(),
+        }
+    }
+
+    fn give_up(&mut self) {
+        let open: Vec<_> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| !caller.answered && !caller.left)
+            .map(|(waiter, caller)| (*waiter, caller.node))
+            .collect();
+        for (waiter, node) in open {
+            if let Some(caller) = self.callers.get_mut(&waiter) {
+                caller.left = true;
+            }
+            self.feed(node, Event::Leave { waiter: WaiterId(waiter) });
+        }
+    }
+
+    fn unfault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Fails { executor, .. } => self.slots[executor].fake.fails = false,
+            Fault::Slow { executor, .. } => self.slots[executor].fake.factor = 1,
+            _ => {}
+        }
+    }
+
+    /// Keepers of each executor, by what entries would use.
+    pub(crate) fn has_exited(&self, node: usize) -> bool {
+        self.nodes[node].exited
+    }
+}
+
+fn home(index: usize, data_centres: usize, incarnation: u64) -> Home {
+    Home {
+        data_centre: DataCentreId((index % data_centres) as u64),
+        entry: EntryId::of(&format!("entry-{index}")),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn executor(index: usize, life: u32, data_centres: usize) -> Executor {
+    let name = format!("i-{index}-{life}");
+    Executor {
+        id: EndpointId::of(&name),
+        name: name.into(),
+        address: ([127, 0, 0, 1], index as u16 + 1).into(),
+        data_centre: DataCentreId((index % data_centres) as u64),
+        service: service(),
+        capacity: capacity(index),
+        labels: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn gone(order: &Order) -> Event {
+    match order {
+        Order::Start(start) => Event::Started {
+            executor: start.executor,
+            run: start.run.clone(),
+            reply: Started::Gone,
+        },
+        Order::Stop { executor, run, .. } => {
+            Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Gone }
+        }
+        Order::Look(look, _) => Event::Looked { executor: look.executor, reply: Answered::Gone },
+    }
+}
+
+fn silent(order: &Order) -> Event {
+    match order {
+        Order::Start(start) => Event::Started {
+            executor: start.executor,
+            run: start.run.clone(),
+            reply: Started::Unknown,
+        },
+        Order::Stop { executor, run, .. } => {
+            Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Silent }
+        }
+        Order::Look(look, _) => Event::Looked { executor: look.executor, reply: Answered::Silent },
+    }
+}
--- /dev/null
+++ b/components/runs/tests/days.rs
@@ -0,0 +1,150 @@
+//! Days of a small site with faults, alone and mixed, checked at every moment.
+
+mod common;
+
+use common::{Fault, Plan, World};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn plan(faults: Vec<(u64, Fault)>) -> Plan {
+    Plan {
+        entries: 4,
+        data_centres: 2,
+        executors: 16,
+        rate: 15,
+        seconds: 10,
+        lost_orders: None,
+        faults,
+    }
+}
+
+fn play(plan: Plan, seed: u64) -> World {
+    let mut world = World::new(plan, seed);
+    world.play();
+    world
+}
+
+fn count(world: &World, answer: &str) -> u64 {
+    world.answers.get(answer).copied().unwrap_or(0)
+}
+
+#[test]
+fn calm_day_completes_everything() {
+    let world = play(plan(Vec::new()), 1);
+    assert_eq!(world.answers.keys().copied().collect::<Vec<_>>(), ["completed"], "{:?}", world.answers);
+}
+
+#[test]
+fn overload_refuses_what_has_not_run() {
+    let mut plan = plan(Vec::new());
+    plan.rate = 60;
+    let world = play(plan, 2);
+    assert!(count(&world, "refused") > 0, "{:?}", world.answers);
+    assert!(count(&world, "completed") > 200, "{:?}", world.answers);
+}
+
+#[test]
+fn killed_entries_leave_no_task_running_twice() {
+    for seed in 0..10 {
+        let faults = (0..4).map(|n| (1_000 + n * 1_700, Fault::Kill { entry: n as usize % 4 }));
+        play(plan(faults.collect()), seed);
+    }
+}
+
+#[test]
+fn frozen_entries_leave_no_task_running_twice() {
+    for (seed, ms) in [500, 850, 1_000, 1_500, 3_000].into_iter().enumerate() {
+        let faults = vec![
+            (1_000, Fault::Freeze { entry: 0, ms }),
+            (5_500, Fault::Freeze { entry: 1, ms }),
+        ];
+        play(plan(faults), seed as u64);
+    }
+}
+
+#[test]
+fn cut_entries_go_on() {
+    for seed in 0..5 {
+        let faults = vec![
+            (1_000, Fault::Cut { entry: 0, ms: 2_500 }),
+            (5_000, Fault::Cut { entry: 1, ms: 600 }),
+        ];
+        let world = play(plan(faults), seed);
+        assert!(count(&world, "completed") > 130, "{:?}", world.answers);
+    }
+}
+
+#[test]
+fn dark_and_crashed_executors_lose_their_tasks_only() {
+    for seed in 0..5 {
+        let faults = vec![
+            (1_000, Fault::Dark { executor: 0, ms: 2_500 }),
+            (2_000, Fault::Crash { executor: 3 }),
+            (4_000, Fault::Dark { executor: 5, ms: 400 }),
+            (6_000, Fault::Crash { executor: 0 }),
+        ];
+        let world = play(plan(faults), seed);
+        assert!(count(&world, "completed") > 130, "{:?}", world.answers);
+    }
+}
+
+#[test]
+fn lost_and_late_orders_start_nothing_twice() {
+    for seed in 0..10 {
+        let mut plan = plan(Vec::new());
+        plan.lost_orders = Some(15);
+        let world = play(plan, seed);
+        assert!(count(&world, "completed") > 120, "{:?}", world.answers);
+    }
+}
+
+#[test]
+fn an_executor_that_fails_everything_is_avoided() {
+    let faults = vec![(1_000, Fault::Fails { executor: 2, ms: 6_000 })];
+    let world = play(plan(faults), 3);
+    assert_eq!(count(&world, "failed"), 0, "{:?}", world.answers);
+}
+
+#[test]
+fn a_stopping_entry_finishes_and_exits() {
+    let faults = vec![(2_000, Fault::Drain { entry: 1 })];
+    let world = play(plan(faults), 4);
+    assert!(world.has_exited(1));
+    assert_eq!(count(&world, "given-up"), 0, "{:?}", world.answers);
+}
+
+#[test]
+fn callers_who_leave_leave_nothing_running() {
+    let faults = (0..9).map(|n| (500 + n * 1_000, Fault::GiveUp)).collect();
+    play(plan(faults), 5);
+}
+
+#[test]
+fn mixed_days_keep_the_promises() {
+    for seed in 100..140 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        for _ in 0..random.random_range(3..12) {
+            let at = random.random_range(200..9_500);
+            let entry = random.random_range(0..4);
+            let executor = random.random_range(0..16);
+            let ms = random.random_range(100..3_500);
+            let fault = match random.random_range(0..9) {
+                0 | 1 => Fault::Kill { entry },
+                2 => Fault::Freeze { entry, ms },
+                3 => Fault::Cut { entry, ms },
+                4 => Fault::Dark { executor, ms },
+                5 => Fault::Crash { executor },
+                6 => Fault::Fails { executor, ms },
+                7 => Fault::Slow { executor, ms, factor: 6 },
+                _ => Fault::GiveUp,
+            };
+            faults.push((at, fault));
+        }
+        let mut plan = plan(faults);
+        plan.lost_orders = random.random_bool(0.5).then_some(25);
+        plan.rate = random.random_range(8..45);
+        println!("seed {seed}: {plan:?}");
+        play(plan, seed);
+    }
+}
