Give a look a time limit of its own, judge slowness by what was listed

Cause: a look without an answer hid ends for 450 ms, so that tasks that had ended were stopped as overdue and their jobs given up. Late answers of an earlier look only add ends.

--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -263,7 +263,8 @@
                 None => runs::executor::Answered::Silent,
             };
             engine.metrics.looked(&reply);
-            engine.feed(Event::Looked { executor: look.executor, reply });
+            let Look { executor, number, .. } = look;
+            engine.feed(Event::Looked { executor, number, reply });
         })
         .detach();
     }
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -71,6 +71,8 @@
 pub struct Look {
     /// Where.
     pub executor: EndpointId,
+    /// Tells the looks at one executor apart.
+    pub number: u64,
     /// Proves who keeps the executor.
     pub token: u64,
     /// Ends up to this number may be forgotten.
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -100,7 +100,9 @@
             Event::Started { executor, run, reply } => {
                 self.keeper.started(now, executor, &run, reply, out);
             }
-            Event::Looked { executor, reply } => self.keeper.looked(now, executor, reply, out),
+            Event::Looked { executor, number, reply } => {
+                self.keeper.looked(now, executor, number, reply, out);
+            }
             Event::Stopped { executor, run, reply } => {
                 self.keeper.stopped(now, executor, &run, reply, out);
             }
--- a/components/runs/src/event.rs
+++ b/components/runs/src/event.rs
@@ -47,6 +47,8 @@
     Looked {
         /// Where.
         executor: EndpointId,
+        /// The number of the look.
+        number: u64,
         /// The answer.
         reply: Answered<Lists>,
     },
--- a/components/runs/src/keeper/hold.rs
+++ b/components/runs/src/keeper/hold.rs
@@ -1,6 +1,6 @@
 //! Looks: an executor's lists, and its lease.
 
-use super::{Keeper, Live, Phase, State, log_keep};
+use super::{Keeper, Lease, Live, Looking, Phase, State, log_keep};
 use crate::{
     Action,
     action::{Ending, KeepChange, Look, StopCause},
@@ -13,6 +13,9 @@
     unit::{Resources, Span, Time},
 };
 
+/// Looks in a row without an answer after which an executor counts as silent in the log.
+const SILENT_LOOKS: u32 = 2;
+
 impl Keeper {
     /// Asks for the lists of an executor that is not in use yet.
     pub(super) fn begin_look(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
@@ -26,7 +29,12 @@
     /// Sends a look if one is due and none is on its way.
     pub(super) fn look(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
         let span = self.options.lease - self.options.lease_margin;
+        let patience = self.start_grace();
         let Some(lease) = self.leases.get_mut(&id) else { return };
+        if lease.looking.is_some_and(|looking| looking.until < now) {
+            lease.looking = None;
+            look_failed(lease, now, out);
+        }
         let due = lease.look_at.is_some_and(|at| at <= now);
         if !due || lease.looking.is_some() {
             return;
@@ -35,14 +43,20 @@
         let renew = lease.phase == Phase::Ready && !lease.runs.is_empty();
         let deadline = if renew { lease.extend(now, span) } else { None };
         let quick = lease.phase == Phase::Looking || lease.silent > 0 || lease.runs.is_empty();
-        lease.looking = Some((now, lease.acknowledged));
+        let wait = if quick { Span::ZERO } else { self.options.look_wait };
+        let acknowledged = lease.acknowledged;
+        lease.looks += 1;
+        let number = lease.looks;
+        let until = now + wait + patience;
+        lease.looking = Some(Looking { number, sent: now, until, acknowledged });
         lease.look_at = None;
         out.push(Action::Look(Look {
             executor: id,
+            number,
             token: lease.token,
-            acknowledged: lease.acknowledged,
+            acknowledged,
             deadline,
-            wait: if quick { Span::ZERO } else { self.options.look_wait },
+            wait,
         }));
     }
 
@@ -51,11 +65,19 @@
         &mut self,
         now: Time,
         id: EndpointId,
+        number: u64,
         reply: Answered<Lists>,
         out: &mut Vec<Action>,
     ) {
         let Some(lease) = self.leases.get_mut(&id) else { return };
-        let Some((sent, acknowledged)) = lease.looking.take() else { return };
+        let Some(looking) = lease.looking.take_if(|looking| looking.number == number) else {
+            // Its time is over and another look has been sent. Ends stay true.
+            if let Answered::Done(lists) = reply {
+                lists.ended.iter().for_each(|ended| self.take_end(now, id, ended, out));
+            }
+            return;
+        };
+        let Looking { sent, acknowledged, .. } = looking;
         match reply {
             Answered::Done(lists) => {
                 lease.confirmed = lease.confirmed.max(acknowledged);
@@ -69,11 +91,8 @@
             Answered::Fenced => self.fenced(now, id, out),
             Answered::Gone => self.executor_gone(now, id, out),
             Answered::Silent => {
-                lease.silent += 1;
-                lease.look_at = Some(now + self.options.look_retry);
-                if lease.silent == 2 {
-                    log_keep(lease, KeepChange::Silent, out);
-                }
+                // An answer that failed at once is not asked for at once again.
+                look_failed(lease, now + self.options.look_retry, out);
             }
         }
     }
@@ -142,7 +161,7 @@
                 self.end_run(now, id, run, End::Lost, Ending::Missing, out);
             }
             State::Stopped { since } if since < sent => {
-                let end = if live.seen { End::Lost } else { End::NotRun };
+                let end = if live.seen.is_some() { End::Lost } else { End::NotRun };
                 self.end_run(now, id, run, end, Ending::Missing, out);
             }
             State::Starting if live.sent + grace < sent => {
@@ -184,10 +203,11 @@
         }
         let overdue = |live: &Live| {
             let limit = Span(live.estimate.0 * self.options.overdue_factor);
-            now.since(live.sent) > limit + self.options.overdue_margin
+            let seen = live.seen.unwrap_or(live.sent);
+            seen.since(live.sent) > limit + self.options.overdue_margin
         };
         let gone = |live: &Live| match live.state {
-            State::Stopped { since } => !live.seen && since + self.options.stop_time < now,
+            State::Stopped { since } => live.seen.is_none() && since + self.options.stop_time < now,
             _ => false,
         };
         let over: Vec<_> =
@@ -246,6 +266,15 @@
     }
 }
 
+/// Notes a look without an answer; the next one is due at `again`.
+fn look_failed(lease: &mut Lease, again: Time, out: &mut Vec<Action>) {
+    lease.silent += 1;
+    lease.look_at = Some(again);
+    if lease.silent == SILENT_LOOKS {
+        log_keep(lease, KeepChange::Silent, out);
+    }
+}
+
 impl Live {
     /// A run that nobody here knows of.
     fn unknown(now: Time) -> Self {
@@ -256,13 +285,13 @@
             give_up: now,
             sent: now,
             state: State::Running { since: now },
-            seen: true,
+            seen: Some(now),
             stop: None,
         }
     }
 
     fn confirm(&mut self, now: Time) {
-        self.seen = true;
+        self.seen = Some(now);
         if matches!(self.state, State::Starting | State::Unsure { .. }) {
             self.state = State::Running { since: now };
         }
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -29,8 +29,10 @@
     pub(crate) acknowledged: u64,
     /// Ends up to this number were acknowledged in a look that was answered.
     pub(crate) confirmed: u64,
-    /// When the look was sent whose answer is awaited, and what it acknowledged.
-    pub(crate) looking: Option<(Time, u64)>,
+    /// The look whose answer is awaited.
+    pub(crate) looking: Option<Looking>,
+    /// The number of the latest look.
+    pub(crate) looks: u64,
     /// When the next look is due, if one is wanted.
     pub(crate) look_at: Option<Time>,
     /// Looks in a row without an answer.
@@ -65,6 +67,16 @@
     },
 }
 
+/// A look whose answer is awaited.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Looking {
+    pub(crate) number: u64,
+    pub(crate) sent: Time,
+    /// Without an answer by then, another look is sent.
+    pub(crate) until: Time,
+    pub(crate) acknowledged: u64,
+}
+
 /// A run that is at an executor, or may be.
 #[derive(Clone, Debug)]
 pub(crate) struct Live {
@@ -76,8 +88,8 @@
     /// When its start was sent.
     pub(crate) sent: Time,
     pub(crate) state: State,
-    /// Whether the executor ever said that it is there.
-    pub(crate) seen: bool,
+    /// When the executor last said that it is there.
+    pub(crate) seen: Option<Time>,
     /// Why it is being stopped.
     pub(crate) stop: Option<StopCause>,
 }
@@ -125,6 +137,7 @@
             acknowledged: 0,
             confirmed: 0,
             looking: None,
+            looks: 0,
             look_at: None,
             silent: 0,
             full_until: Time(0),
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -6,7 +6,7 @@
 mod start;
 mod stop;
 
-use lease::{Lease, Live, Phase, State};
+use lease::{Lease, Live, Looking, Phase, State};
 use queue::{Queue, Queued};
 
 use crate::{
@@ -140,7 +140,9 @@
 
     fn forget(&mut self, id: EndpointId, change: KeepChange, out: &mut Vec<Action>) {
         if let Some(lease) = self.leases.remove(&id) {
-            log_keep(&lease, change, out);
+            if !matches!(lease.phase, Phase::Settling { .. }) {
+                log_keep(&lease, change, out);
+            }
             self.health.remove(id);
         }
     }
@@ -186,7 +188,7 @@
                 give_up: now + entry.give_up_in,
                 sent: Time(now.0.saturating_sub(entry.running_for.0)),
                 state: State::Unsure { since: now },
-                seen: false,
+                seen: None,
                 stop: None,
             };
             self.health.may_use(now, yielded.executor);
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -84,7 +84,7 @@
             give_up: queued.give_up,
             sent: now,
             state: State::Starting,
-            seen: false,
+            seen: None,
             stop: None,
         };
         lease.insert(queued.run.clone(), live);
@@ -119,7 +119,7 @@
                     let took = now.since(live.sent).0;
                     let weight = START_TIME_WEIGHT;
                     self.start_time = Span((self.start_time.0 * (weight - 1) + took) / weight);
-                    live.seen = true;
+                    live.seen = Some(now);
                     if matches!(live.state, State::Starting | State::Unsure { .. }) {
                         live.state = State::Running { since: now };
                     }
--- a/components/runs/tests/common/world.rs
+++ b/components/runs/tests/common/world.rs
@@ -473,7 +473,7 @@
                         }
                     }
                 }
-                Event::Looked { executor: look.executor, reply }
+                Event::Looked { executor: look.executor, number: look.number, reply }
             }
         }
     }
@@ -739,7 +739,11 @@
         Order::Stop { executor, run, .. } => {
             Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Gone }
         }
-        Order::Look(look, _) => Event::Looked { executor: look.executor, reply: Answered::Gone },
+        Order::Look(look, _) => Event::Looked {
+            executor: look.executor,
+            number: look.number,
+            reply: Answered::Gone,
+        },
     }
 }
 
@@ -753,6 +757,10 @@
         Order::Stop { executor, run, .. } => {
             Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Silent }
         }
-        Order::Look(look, _) => Event::Looked { executor: look.executor, reply: Answered::Silent },
+        Order::Look(look, _) => Event::Looked {
+            executor: look.executor,
+            number: look.number,
+            reply: Answered::Silent,
+        },
     }
 }
