--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -136,7 +136,7 @@
             }
             Message::Claim(executors) => self.keeper.hand_over(now, from, &executors, out),
             Message::Yield(yielded) => {
-                let moved = self.keeper.take_over(now, yielded, out);
+                let moved = self.keeper.take_over(now, &self.view, yielded, out);
                 self.tell_moved(moved, out);
             }
             Message::Moved(tasks) => self.jobs.moved(from, &tasks),
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -159,6 +159,7 @@
             let Some(lease) = self.leases.get(id) else { continue };
             let message = Message::Yield(Yield {
                 executor: *id,
+                token: lease.token,
                 acknowledged: lease.acknowledged,
                 runs: lease.runs.iter().filter_map(|(run, live)| yielded(now, run, live)).collect(),
             });
@@ -171,6 +172,7 @@
     pub(crate) fn take_over(
         &mut self,
         now: Time,
+        view: &View,
         yielded: Yield,
         out: &mut Vec<Action>,
     ) -> Vec<Task> {
@@ -178,6 +180,7 @@
         if !matches!(lease.phase, Phase::Claiming { .. } | Phase::Looking) {
             return Vec::new();
         }
+        lease.token = lease.token.max(view.token_above(yielded.token));
         lease.acknowledged = lease.acknowledged.max(yielded.acknowledged);
         let mut moved = Vec::new();
         for entry in yielded.runs {
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -124,6 +124,8 @@
 pub struct Yield {
     /// The executor.
     pub executor: EndpointId,
+    /// The fencing token that the sender used there.
+    pub token: u64,
     /// Ends up to here are known to all whom they concern.
     pub acknowledged: u64,
     /// Runs that are there, or may be.
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -114,6 +114,14 @@
             | self.me.entry.0 & ENTRY_MASK
     }
 
+    /// A fencing token of this entry that is higher than another one.
+    pub(crate) fn token_above(&self, token: u64) -> u64 {
+        match self.token(0) {
+            own if own > token => own,
+            own => ((token >> TRY_SHIFT) + 1) << TRY_SHIFT | own & ENTRY_MASK,
+        }
+    }
+
     fn refresh(&mut self) -> bool {
         let mut keepers = vec![self.me];
         keepers.extend(self.linked.iter().filter(|home| home.entry != self.me.entry));
--- a/components/runs/tests/common/mod.rs
+++ b/components/runs/tests/common/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code, reason = "each test uses a part of it")]
 
-pub(crate) mod executor;
 pub(crate) mod world;
 
 pub(crate) use world::{Fault, Plan, World};
--- a/components/runs/tests/common/world.rs
+++ b/components/runs/tests/common/world.rs
@@ -2,7 +2,6 @@
 //! runs twice at a time, no refused job ever runs, each caller gets one answer in time, and only
 //! whole jobs are called complete.
 
-use super::executor::Fake;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use runs::{
@@ -16,6 +15,7 @@
     id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId, WaiterId},
     unit::{Cores, Memory, Resources, Revision, Slots, Span, Time},
 };
+use standin::leased::Life;
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap},
@@ -84,7 +84,7 @@
 
 struct Slot {
     executor: Executor,
-    fake: Fake,
+    fake: Life,
     life: u32,
 }
 
@@ -148,12 +148,22 @@
 }
 
 pub(crate) fn needs() -> Resources {
-    Resources { slots: Slots(1), cores: Cores(27_000), memory: Memory(64 << 20), ..Default::default() }
+    Resources {
+        slots: Slots(1),
+        cores: Cores(27_000),
+        memory: Memory(64 << 20),
+        ..Default::default()
+    }
 }
 
 fn capacity(index: usize) -> Resources {
     let cores = if index % 3 == 2 { 96_000 } else { 64_000 };
-    Resources { slots: Slots(8), cores: Cores(cores), memory: Memory(256 << 30), ..Default::default() }
+    Resources {
+        slots: Slots(8),
+        cores: Cores(cores),
+        memory: Memory(256 << 30),
+        ..Default::default()
+    }
 }
 
 impl World {
@@ -170,7 +180,11 @@
         let nodes = nodes.collect();
         let slots = (0..plan.executors).map(|index| Slot {
             executor: executor(index, 0, plan.data_centres),
-            fake: Fake::new(capacity(index), [0, 10, 20][index % 3], random.random_range(0..1_000_000)),
+            fake: Life::new(
+                capacity(index),
+                [0, 10, 20][index % 3],
+                random.random_range(0..1_000_000),
+            ),
             life: 0,
         });
         let slots = slots.collect();
@@ -225,10 +239,14 @@
             .map(|caller| &caller.job.name)
             .collect();
         assert!(open.is_empty(), "jobs without an answer: {open:?}");
-        let running: usize = self.slots.iter_mut().map(|slot| {
-            slot.fake.settle(end);
-            slot.fake.running.len()
-        }).sum();
+        let running: usize = self
+            .slots
+            .iter_mut()
+            .map(|slot| {
+                slot.fake.settle(end);
+                slot.fake.running.len()
+            })
+            .sum();
         assert_eq!(running, 0, "runs without a job");
     }
 
@@ -326,7 +344,7 @@
                 let offset = self.random.random_range(0..1_000_000);
                 self.slots[slot] = Slot {
                     executor: executor(slot, life, self.plan.data_centres),
-                    fake: Fake::new(capacity(slot), 10, offset),
+                    fake: Life::new(capacity(slot), 10, offset),
                     life,
                 };
                 self.tell_executors();
@@ -564,7 +582,10 @@
         let job = caller.job.clone();
         assert!(
             frozen || self.now.0 <= job.give_up.0 + ANSWER_SLACK_US,
-            "{} is answered too late: {} after {}", job.name, self.now, job.give_up
+            "{} is answered too late: {} after {}",
+            job.name,
+            self.now,
+            job.give_up
         );
         let name = match answer {
             Answer::Completed => "completed",
@@ -739,11 +760,9 @@
         Order::Stop { executor, run, .. } => {
             Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Gone }
         }
-        Order::Look(look, _) => Event::Looked {
-            executor: look.executor,
-            number: look.number,
-            reply: Answered::Gone,
-        },
+        Order::Look(look, _) => {
+            Event::Looked { executor: look.executor, number: look.number, reply: Answered::Gone }
+        }
     }
 }
 
@@ -757,10 +776,8 @@
         Order::Stop { executor, run, .. } => {
             Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Silent }
         }
-        Order::Look(look, _) => Event::Looked {
-            executor: look.executor,
-            number: look.number,
-            reply: Answered::Silent,
-        },
+        Order::Look(look, _) => {
+            Event::Looked { executor: look.executor, number: look.number, reply: Answered::Silent }
+        }
     }
 }
--- a/components/runs/tests/days.rs
+++ b/components/runs/tests/days.rs
@@ -31,7 +31,12 @@
 #[test]
 fn calm_day_completes_everything() {
     let world = play(plan(Vec::new()), 1);
-    assert_eq!(world.answers.keys().copied().collect::<Vec<_>>(), ["completed"], "{:?}", world.answers);
+    assert_eq!(
+        world.answers.keys().copied().collect::<Vec<_>>(),
+        ["completed"],
+        "{:?}",
+        world.answers
+    );
 }
 
 #[test]
@@ -54,10 +59,8 @@
 #[test]
 fn frozen_entries_leave_no_task_running_twice() {
     for (seed, ms) in [500, 850, 1_000, 1_500, 3_000].into_iter().enumerate() {
-        let faults = vec![
-            (1_000, Fault::Freeze { entry: 0, ms }),
-            (5_500, Fault::Freeze { entry: 1, ms }),
-        ];
+        let faults =
+            vec![(1_000, Fault::Freeze { entry: 0, ms }), (5_500, Fault::Freeze { entry: 1, ms })];
         play(plan(faults), seed as u64);
     }
 }
--- a/components/runs/tests/common/executor.rs
+++ b/components/standin/src/leased/life.rs
@@ -1,4 +1,5 @@
-//! An executor as the platform describes it: leases, fences, lists of ends.
+//! One life of an executor that takes orders under a lease: what runs, what has ended, who may
+//! give orders.
 
 use runs::{
     action::{Look, Start},
@@ -16,23 +17,33 @@
 
 /// A run that is there.
 #[derive(Clone, Debug)]
-pub(crate) struct Running {
+pub struct Running {
+    /// When it ends by itself.
     pub ends: Time,
+    /// How it ends then.
     pub how: How,
+    /// What it uses.
     pub needs: Resources,
 }
 
 /// One life of an executor.
 #[derive(Debug)]
-pub(crate) struct Fake {
+pub struct Life {
+    /// What its runs may use together.
     pub capacity: Resources,
     /// The clock runs this many parts in a thousand slow.
     pub slow: u64,
+    /// What the clock showed at time 0.
     offset: u64,
+    /// What runs.
     pub running: BTreeMap<Run, Running>,
+    /// Ends that were not acknowledged.
     ended: Vec<Ended>,
+    /// The number of the next end.
     next: u64,
+    /// The highest token seen.
     fence: u64,
+    /// When the lease lapses, on its clock.
     deadline: u64,
     /// Highest run of each task that ended or was stopped.
     past: BTreeMap<(String, u16), u32>,
@@ -46,8 +57,9 @@
     pub fails: bool,
 }
 
-impl Fake {
-    pub(crate) fn new(capacity: Resources, slow: u64, offset: u64) -> Self {
+impl Life {
+    /// A life that begins with nothing running.
+    pub fn new(capacity: Resources, slow: u64, offset: u64) -> Self {
         Self {
             capacity,
             slow,
@@ -65,18 +77,21 @@
         }
     }
 
-    pub(crate) fn clock(&self, now: Time) -> u64 {
+    /// What its clock shows, in milliseconds.
+    pub fn clock(&self, now: Time) -> u64 {
         self.offset + now.0 / 1_000 * (1_000 - self.slow) / 1_000
     }
 
-    /// Ends what is due, and everything if the lease has lapsed. Returns when it changed.
-    pub(crate) fn settle(&mut self, now: Time) {
+    /// Ends what is due, and everything if the lease has lapsed.
+    pub fn settle(&mut self, now: Time) {
         let lapsed = self.clock(now) > self.deadline;
         let due: Vec<_> = self
             .running
             .iter()
             .filter(|(_, running)| running.ends <= now || lapsed)
-            .map(|(run, running)| (run.clone(), if running.ends <= now { running.how } else { How::Lapsed }))
+            .map(|(run, running)| {
+                (run.clone(), if running.ends <= now { running.how } else { How::Lapsed })
+            })
             .collect();
         for (run, how) in due {
             self.end(run, how);
@@ -105,7 +120,7 @@
     }
 
     /// Carries a start out. `length` is how long the task takes.
-    pub(crate) fn start(&mut self, now: Time, start: &Start, needs: Resources, length: u64) -> Started {
+    pub fn start(&mut self, now: Time, start: &Start, needs: Resources, length: u64) -> Started {
         self.settle(now);
         let clock = self.clock(now);
         let refused = |why| Started::Refused { clock: Some(clock), why };
@@ -134,7 +149,8 @@
         Started::Running { clock }
     }
 
-    pub(crate) fn stop(&mut self, now: Time, run: &Run, token: u64) -> Answered<()> {
+    /// Carries a stop out.
+    pub fn stop(&mut self, now: Time, run: &Run, token: u64) -> Answered<()> {
         self.settle(now);
         if token < self.fence {
             return Answered::Fenced;
@@ -148,7 +164,8 @@
         Answered::Done(())
     }
 
-    pub(crate) fn look(&mut self, now: Time, look: &Look) -> Answered<Lists> {
+    /// Gives the lists out, and prolongs the lease if asked to.
+    pub fn look(&mut self, now: Time, look: &Look) -> Answered<Lists> {
         self.settle(now);
         if look.token < self.fence {
             return Answered::Fenced;
@@ -166,7 +183,7 @@
     }
 
     /// Whether a look that may wait has something to say.
-    pub(crate) fn has_news(&self, acknowledged: u64) -> bool {
+    pub fn has_news(&self, acknowledged: u64) -> bool {
         self.ended.iter().any(|ended| ended.number > acknowledged)
     }
 }
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod executor;
 pub mod fault;
+pub mod kv;
+pub mod leased;
 pub mod ledger;
 pub mod platform;
 mod protocol;
