--- a/components/runs/src/clock.rs
+++ b/components/runs/src/clock.rs
@@ -46,3 +46,25 @@
         now.since(self.received)
     }
 }
+
+/// How another entry's clock relates to the own one: the least difference seen, which is that of
+/// the message with the shortest way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Offset {
+    /// Own time of arrival less the sender's time, wrapping; `None` before the first message.
+    least: Option<u64>,
+}
+
+impl Offset {
+    /// How much longer than the quickest message one was on its way that was sent at `sent`.
+    pub fn age(&mut self, now: Time, sent: Time) -> Span {
+        let difference = now.0.wrapping_sub(sent.0);
+        let least = match self.least {
+            // Less by wrapping subtraction: the shorter way, whatever the clocks began at.
+            Some(least) if (difference.wrapping_sub(least) as i64) >= 0 => least,
+            _ => difference,
+        };
+        self.least = Some(least);
+        Span(difference.wrapping_sub(least))
+    }
+}
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::{
     Action, Event, Message, Options,
     action::Decision,
+    clock::Offset,
     home::Jobs,
     job::Task,
     keeper::Keeper,
@@ -21,6 +22,10 @@
 /// How often the executors that are kept are compared with the view without a change of either.
 const RECONCILE_INTERVAL: Span = Span::from_secs(1);
 
+/// Clocks of peers that are remembered beyond their connections. Above the entries of a site and
+/// their restarts on an ordinary day.
+const MOST_CLOCKS: usize = 1_000;
+
 /// The whole logic of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -30,6 +35,10 @@
     keeper: Keeper,
     view: View,
     configuration: u64,
+    /// When each connected peer was last heard of; none for one that is taken for lost.
+    heard: FxHashMap<Home, Time>,
+    /// The clocks of the connected peers.
+    clocks: FxHashMap<Home, Offset>,
     /// The latest event.
     latest: Time,
     reconciled: Time,
@@ -48,6 +57,8 @@
             keeper: Keeper::new(options),
             view: View::new(me),
             configuration: 0,
+            heard: FxHashMap::default(),
+            clocks: FxHashMap::default(),
             latest: now,
             reconciled: now,
             reported: (Report::default(), Time(0)),
@@ -62,6 +73,7 @@
             self.pause(now, span, out);
         }
         self.latest = now;
+        self.lose_silent(now, out);
         self.take(now, event, out);
         self.settle(now, out);
     }
@@ -118,9 +130,25 @@
         }
     }
 
+    /// Gives up what runs for peers that were not heard of. Comes before anything else, so that a
+    /// process that did not run for a while prolongs no lease for them.
+    fn lose_silent(&mut self, now: Time, out: &mut Vec<Action>) {
+        let limit = self.options.peer_silence;
+        let silent: Vec<_> =
+            self.heard.extract_if(|_, at| now.since(*at) > limit).map(|(peer, _)| peer).collect();
+        for peer in silent {
+            self.keeper.home_lost(now, peer, out);
+        }
+    }
+
     fn message(&mut self, now: Time, from: Home, message: Message, out: &mut Vec<Action>) {
+        self.heard.insert(from, now);
         match message {
-            Message::Place(placement) => self.keeper.place(now, placement),
+            Message::Place(placement) => {
+                let offset = self.clocks.entry(from).or_default();
+                let stale = offset.age(now, placement.sent) > self.options.stale_after;
+                self.keeper.place(now, placement, stale);
+            }
             Message::Cancel(tasks) => self.keeper.cancel(now, &tasks, out),
             Message::Ended(ended) => {
                 for ended in &ended {
@@ -129,6 +157,7 @@
                 }
             }
             Message::Report(report) => {
+                self.clocks.entry(from).or_default().age(now, report.sent);
                 self.jobs.peers.report(now, from, report);
                 self.view.see(report.revision);
                 let changed = self.view.set_leaving(from, report.leaving);
@@ -147,6 +176,7 @@
 
     fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.connect(peer);
+        self.heard.insert(peer, now);
         let report = self.report(now);
         out.push(Action::Send { to: peer, message: Message::Report(report) });
         let changed = self.view.connect(peer);
@@ -155,6 +185,11 @@
 
     fn peer_down(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.disconnect(peer);
+        self.heard.remove(&peer);
+        // A process's clock is worth knowing until the process is gone for good.
+        if self.clocks.len() > MOST_CLOCKS {
+            self.clocks.retain(|home, _| self.heard.contains_key(home));
+        }
         self.jobs.keeper_lost(now, peer);
         self.keeper.home_lost(now, peer, out);
         let changed = self.view.disconnect(peer);
@@ -206,7 +241,7 @@
             let own = self.jobs.expire(now, out);
             self.keeper.cancel(now, &own, out);
             for placement in self.jobs.place(now, self.keeper.room(now), out) {
-                self.keeper.place(now, placement);
+                self.keeper.place(now, placement, false);
             }
             self.keeper.pump(now, out);
             let ends = self.keeper.take_ends();
@@ -245,6 +280,7 @@
 
     fn report(&self, now: Time) -> Report {
         Report {
+            sent: now,
             room: self.keeper.room(now),
             capacity: self.keeper.capacity(),
             leaving: self.view.is_leaving(),
@@ -263,10 +299,8 @@
             return;
         }
         let report = self.report(now);
-        let comparable = Report { revision: Revision(0), ..report };
-        if comparable == (Report { revision: Revision(0), ..old })
-            && age < self.options.report_refresh
-        {
+        let comparable = |report| Report { revision: Revision(0), sent: Time(0), ..report };
+        if comparable(report) == comparable(old) && age < self.options.report_refresh {
             return;
         }
         self.reported = (report, now);
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -98,7 +98,7 @@
         task.state = match ended.end {
             End::Done => State::Done,
             End::Failed | End::Lost | End::NotRun => State::Waiting { from: now },
-            End::Unsure => State::Waiting { from: now + self.options.lapse_wait },
+            End::Unsure => State::Waiting { from: now + self.options.unsure_wait },
         };
         if ended.end == End::Failed {
             task.failures += 1;
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -104,6 +104,7 @@
         Place { index: *index, run: task.run, avoid: task.avoid.clone() }
     };
     Placement {
+        sent: now,
         job: open.key,
         name: job.name.clone(),
         spec: job.spec.clone(),
--- a/components/runs/src/keeper/hold.rs
+++ b/components/runs/src/keeper/hold.rs
@@ -28,7 +28,7 @@
 
     /// Sends a look if one is due and none is on its way.
     pub(super) fn look(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
-        let span = self.options.lease - self.options.lease_margin;
+        let span = self.options.lease;
         let patience = self.start_grace();
         let Some(lease) = self.leases.get_mut(&id) else { return };
         if lease.looking.is_some_and(|looking| looking.until < now) {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -85,11 +85,17 @@
         self.queue.is_empty() && self.leases.values().all(|lease| lease.runs.is_empty())
     }
 
-    /// Takes tasks in.
-    pub(crate) fn place(&mut self, now: Time, placement: Placement) {
+    /// Takes tasks in, or hands them back if they were on their way for too long.
+    pub(crate) fn place(&mut self, now: Time, placement: Placement, stale: bool) {
         for place in &placement.tasks {
-            self.learn_need(&placement.needs);
-            self.queue.push(Queued::new(now, &placement, place));
+            let queued = Queued::new(now, &placement, place);
+            match stale {
+                true => self.ends.push(queued.ended(End::NotRun)),
+                false => {
+                    self.learn_need(&placement.needs);
+                    self.queue.push(queued);
+                }
+            }
         }
     }
 
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -72,7 +72,7 @@
     }
 
     fn start(&mut self, now: Time, id: EndpointId, queued: Queued, out: &mut Vec<Action>) {
-        let span = self.options.lease - self.options.lease_margin;
+        let span = self.options.lease;
         let Some(lease) = self.leases.get_mut(&id) else { return };
         let clock_age = lease.clock.map_or(Span::ZERO, |clock| clock.age(now));
         let Some(deadline) = lease.extend(now, span) else { return };
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use site::{
     id::{EndpointId, ServiceId},
-    unit::{Resources, Revision, Span},
+    unit::{Resources, Revision, Span, Time},
 };
 use std::sync::Arc;
 
@@ -39,6 +39,8 @@
 /// Tasks of one job for one keeper.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Placement {
+    /// When it was sent, by the sender's clock.
+    pub sent: Time,
     /// The job.
     pub job: crate::job::Key,
     /// The caller's name of it.
@@ -107,6 +109,8 @@
 /// What a keeper's executors have room for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
+    /// When it was sent, by the sender's clock.
+    pub sent: Time,
     /// Tasks of usual size that may be sent to it now.
     pub room: u32,
     /// Tasks of usual size that its executors can run at one time.
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -5,10 +5,12 @@
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
-    /// Longest lease that an executor grants, on its own clock. Set by the platform.
+    /// How long a lease lasts, by the executor's clock. With `peer_silence` and a clock that is 2%
+    /// slow it has to be below the time after which callers hand a job in again elsewhere,
+    /// 1,300 ms: whatever a lost home had running is then over, even if every stop is lost.
     pub lease: Span,
-    /// What is taken off a lease, for the way of the call and for slow clocks (2%).
-    pub lease_margin: Span,
+    /// A home that was not heard of for this long is taken for lost. Three reports.
+    pub peer_silence: Span,
     /// How long an executor holds back its answer to a look while nothing ends. A third of what a
     /// lease may last at most, so that two looks in a row may fail.
     pub look_wait: Span,
@@ -42,16 +44,22 @@
     pub report_refresh: Span,
     /// A process that did not run for this long has lost its leases and maybe its callers.
     pub pause_limit: Span,
-    /// How long a home waits for the lease of a lost keeper's executors to lapse before it starts
-    /// their tasks again.
+    /// How long a home waits after it lost a keeper before it starts that one's tasks again: the
+    /// keeper may miss the end of the connection, takes the home for lost by its silence then, and
+    /// the lease lapses after that.
     pub lapse_wait: Span,
+    /// How long a home waits for a new keeper to stop what it does not know.
+    pub unsure_wait: Span,
+    /// A task that was this long on its way to its keeper is not started: its home may have given
+    /// it up, or may be gone. Several times the usual way of a few milliseconds.
+    pub stale_after: Span,
 }
 
 impl Default for Options {
     fn default() -> Self {
         Options {
-            lease: Span::from_millis(1_000),
-            lease_margin: Span::from_millis(60),
+            lease: Span::from_millis(700),
+            peer_silence: Span::from_millis(500),
             look_wait: Span::from_millis(150),
             look_retry: Span::from_millis(100),
             acknowledge_after: Span::from_millis(400),
@@ -64,9 +72,11 @@
             overdue_margin: Span::from_millis(150),
             queue_ahead: 1,
             report_interval: Span::from_millis(15),
-            report_refresh: Span::from_millis(250),
+            report_refresh: Span::from_millis(150),
             pause_limit: Span::from_millis(900),
-            lapse_wait: Span::from_millis(400),
+            lapse_wait: Span::from_millis(1_250),
+            unsure_wait: Span::from_millis(400),
+            stale_after: Span::from_millis(300),
         }
     }
 }
--- a/components/runs/tests/common/world.rs
+++ b/components/runs/tests/common/world.rs
@@ -383,7 +383,11 @@
         }
         if entry.frozen_until > self.now {
             let (until, incarnation) = (entry.frozen_until, entry.home.incarnation);
-            self.at(until, Step::Feed(node, incarnation, event));
+            let step = match event {
+                Event::Message { from, message } => Step::Deliver { from, to: node, message },
+                event => Step::Feed(node, incarnation, event),
+            };
+            self.at(until, step);
             return;
         }
         let mut actions = Vec::new();
--- a/components/runs/tests/days.rs
+++ b/components/runs/tests/days.rs
@@ -65,6 +65,21 @@
     }
 }
 
+#[test]
+fn a_keeper_that_was_frozen_does_not_vouch_for_a_dead_home() {
+    for seed in 0..60 {
+        let mut faults = Vec::new();
+        for round in 0..4 {
+            let at = 500 + round * 2_300;
+            faults.extend((1..4).map(|entry| (at, Fault::Freeze { entry, ms: 880 })));
+            faults.push((at + 10 + seed % 40, Fault::Kill { entry: 0 }));
+        }
+        let mut plan = plan(faults);
+        plan.lost_orders = Some(4);
+        play(plan, seed);
+    }
+}
+
 #[test]
 fn cut_entries_go_on() {
     for seed in 0..5 {
