--- /dev/null
+++ b/components/explain/src/cause.rs
@@ -0,0 +1,261 @@
+//! Why a job ended as it did.
+
+use crate::{Line, Story};
+use compact_str::CompactString;
+use derive_more::Display;
+
+/// Why a job ended as it did.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum Cause {
+    /// No line about it.
+    #[display("not in these logs")]
+    Unknown,
+    /// It was turned away before it was queued.
+    #[display("turned away by {node}: {why}; it has not run")]
+    TurnedAway {
+        /// By which process.
+        node: CompactString,
+        /// Its words.
+        why: CompactString,
+    },
+    /// It completed in time.
+    #[display("completed in time")]
+    InTime,
+    /// It completed late.
+    #[display("completed {late_by} late: {why}")]
+    Late {
+        /// By how much.
+        late_by: CompactString,
+        /// Why.
+        why: Delay,
+    },
+    /// It could not start in time.
+    #[display(
+        "refused, it has not run: no room for {waited}; {waiting} other jobs waited, other entries \
+         had room for {room} tasks"
+    )]
+    NoRoom {
+        /// For how long.
+        waited: CompactString,
+        /// Jobs that waited at its home.
+        waiting: u64,
+        /// Room at other entries at the end.
+        room: u64,
+    },
+    /// Its home had not run for a while and refused it.
+    #[display("refused, it has not run: {node} did not run for a while")]
+    HomePaused {
+        /// The home.
+        node: CompactString,
+    },
+    /// It began, and was given up.
+    #[display("given up after it began: {why}")]
+    GivenUp {
+        /// Why.
+        why: Delay,
+    },
+    /// A task failed as often as it may.
+    #[display("failed: task {index} failed {failures} times")]
+    Failed {
+        /// Which.
+        index: u64,
+        /// How often.
+        failures: u64,
+    },
+    /// Its caller left.
+    #[display("its caller left before the answer")]
+    CallerLeft,
+    /// Its home ended before the answer.
+    #[display(
+        "its entry {node} ended before the answer and started again {gap_ms} ms after it took the job"
+    )]
+    HomeLost {
+        /// The home.
+        node: CompactString,
+        /// From the job's arrival to the start of the next process.
+        gap_ms: u64,
+    },
+    /// The home's log ends before the answer.
+    #[display("the log of its entry {node} ends before the answer")]
+    LogEnds {
+        /// The home.
+        node: CompactString,
+    },
+}
+
+/// What held a job up.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum Delay {
+    /// A run ended otherwise than well, or had to be stopped.
+    #[display("run {run} at executor {executor} {how}")]
+    Run {
+        /// Which.
+        run: CompactString,
+        /// Where.
+        executor: CompactString,
+        /// How.
+        how: CompactString,
+    },
+    /// A keeper lost its tasks.
+    #[display("tasks were at an entry that was lost")]
+    KeeperLost,
+    /// It waited for room.
+    #[display("it waited {waited} for room")]
+    Room {
+        /// For how long.
+        waited: CompactString,
+    },
+    /// Its home did not run for a while.
+    #[display("{node} did not run for a while")]
+    Paused {
+        /// Which.
+        node: CompactString,
+    },
+    /// Tasks waited at their keeper.
+    #[display("run {run} waited {waited} at its keeper")]
+    Queue {
+        /// Which.
+        run: CompactString,
+        /// For how long.
+        waited: CompactString,
+    },
+    /// Nothing went wrong: the tasks took longer than estimated.
+    #[display("its tasks took longer than estimated")]
+    LongTasks,
+}
+
+/// A wait at a keeper below this explains no delay.
+const LONG_WAIT_MS: f64 = 20.0;
+
+impl Cause {
+    pub(crate) fn of(story: &Story) -> Self {
+        let lines = story.lines();
+        let last = |what: &str| lines.iter().rev().find(|line| line.what == what).copied();
+        if let Some(line) = last("answer") {
+            return answered(story, &lines, line);
+        }
+        if last("left").is_some() {
+            return Cause::CallerLeft;
+        }
+        if let Some(line) = last("admit") {
+            return unanswered(story, line);
+        }
+        let turned_away = lines.iter().find(|line| line.what.contains("turned away"));
+        match turned_away {
+            Some(line) => {
+                let error = line.text("error");
+                let why = if error.is_empty() { line.what.as_str() } else { error };
+                Cause::TurnedAway { node: line.node.clone(), why: why.into() }
+            }
+            None => Cause::Unknown,
+        }
+    }
+}
+
+fn answered(story: &Story, lines: &[&Line], line: &Line) -> Cause {
+    let waited = CompactString::from(line.text("waited"));
+    match (line.text("answer"), line.text("why")) {
+        ("completed", _) if line.text("late_by") == "0s" => Cause::InTime,
+        ("completed", _) => {
+            Cause::Late { late_by: line.text("late_by").into(), why: delay(story, lines, line) }
+        }
+        ("refused", "paused") => Cause::HomePaused { node: line.node.clone() },
+        ("refused", _) => {
+            Cause::NoRoom { waited, waiting: line.number("waiting"), room: line.number("room") }
+        }
+        ("failed", _) => {
+            let failed = lines.iter().rev().find(|line| line.text("end") == "failed");
+            Cause::Failed {
+                index: failed.map_or(0, |line| line.number("index")),
+                failures: failed.map_or(0, |line| line.number("failures")),
+            }
+        }
+        _ => Cause::GivenUp { why: delay(story, lines, line) },
+    }
+}
+
+/// What held a job up that was answered by `answer`.
+fn delay(story: &Story, lines: &[&Line], answer: &Line) -> Delay {
+    if answer.text("why") == "paused" {
+        return Delay::Paused { node: answer.node.clone() };
+    }
+    let went_wrong = lines
+        .iter()
+        .find(|line| matches!(line.what.as_str(), "run-ended" | "stop-run" | "start-refused"));
+    if let Some(line) = went_wrong {
+        return Delay::Run {
+            run: line.text("run").into(),
+            executor: line.text("executor").into(),
+            how: describe(story, line),
+        };
+    }
+    let waits = lines
+        .iter()
+        .filter(|line| line.what == "start")
+        .map(|line| (millis(line.text("waited")), line));
+    let longest = waits.max_by(|a, b| a.0.total_cmp(&b.0));
+    let waited = millis(answer.text("waited"));
+    match longest {
+        Some((ms, line)) if ms >= LONG_WAIT_MS && ms >= waited => {
+            Delay::Queue { run: line.text("run").into(), waited: line.text("waited").into() }
+        }
+        _ if waited >= LONG_WAIT_MS => Delay::Room { waited: answer.text("waited").into() },
+        None => Delay::KeeperLost,
+        _ if lines.iter().any(|line| line.what == "task-ended") => Delay::KeeperLost,
+        _ => Delay::LongTasks,
+    }
+}
+
+/// What a line says went wrong with a run.
+fn describe(story: &Story, line: &Line) -> CompactString {
+    let executor = line.text("executor");
+    let how = match line.what.as_str() {
+        "stop-run" => match line.text("why") {
+            "overdue" => "ran on for several times its estimate and was stopped",
+            "start-lost" => "was started without an answer, is not listed, and was stopped",
+            "home-lost" => "was stopped, since its home was not heard of",
+            "cancelled" => "was stopped, since its answer was not wanted any more",
+            _ => "was stopped, since its keeper did not know it",
+        },
+        "start-refused" => {
+            return format!("was refused: {}", line.text("why")).into();
+        }
+        _ => match line.fields.get("how").and_then(|how| how.as_str()) {
+            Some("missing") => "is no longer listed by its executor",
+            Some("lease-over") => "was lost: the executor was silent until its lease was over",
+            Some("executor-gone") => "was lost with its executor",
+            Some("fenced") => "went over to another keeper",
+            _ => match line.fields.get("how").and_then(|how| how.get("listed")) {
+                Some(how) if how == "failed" => "failed",
+                Some(how) if how == "lapsed" => "ended with its executor's lease",
+                _ => "was stopped",
+            },
+        },
+    };
+    let silent =
+        story.keep_before(executor, line.time_ms).filter(|keep| keep.text("change") == "silent");
+    match silent {
+        Some(_) => format!("{how} (the executor did not answer)").into(),
+        None => how.into(),
+    }
+}
+
+/// Why a job that was admitted has no answer.
+fn unanswered(story: &Story, admitted: &Line) -> Cause {
+    let node = admitted.node.clone();
+    match story.next_around("starting", &node, admitted.time_ms) {
+        Some(line) => Cause::HomeLost { node, gap_ms: line.time_ms - admitted.time_ms },
+        None => Cause::LogEnds { node },
+    }
+}
+
+/// Milliseconds of a span like `15ms`, `2s` or `1234us`.
+fn millis(span: &str) -> f64 {
+    let digits = span.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let number: f64 = digits.parse().unwrap_or(0.0);
+    match &span[digits.len()..] {
+        "us" => number / 1_000.0,
+        "s" => number * 1_000.0,
+        _ => number,
+    }
+}
--- /dev/null
+++ b/components/explain/tests/causes.rs
@@ -0,0 +1,113 @@
+//! Causes of staged ends.
+
+use explain::{Cause, Story};
+
+const JOB: &str = "5c0e7a21d94b36f8";
+
+fn story(lines: &[&str]) -> Story {
+    let mut story = Story::new(JOB);
+    lines.iter().for_each(|line| story.add(&line.replace("JOB", JOB)));
+    story
+}
+
+fn cause(lines: &[&str]) -> String {
+    story(lines).cause().to_string()
+}
+
+const ADMIT: &str =
+    r#"{"time_ms":1000,"node":"entry-1","decision":"admit","job":"JOB","tasks":4,"waiting":0}"#;
+const PLACE: &str = r#"{"time_ms":1001,"node":"entry-1","decision":"place","job":"JOB","tasks":4,"keeper":"a-b-c","room":5}"#;
+const START: &str = r#"{"time_ms":1003,"node":"entry-2","decision":"start","run":"JOB.0.0.1#1","executor":"i-7","waited":"0s"}"#;
+
+#[test]
+fn nothing_is_said_of_an_unknown_job() {
+    let other = r#"{"time_ms":1,"node":"n","decision":"admit","job":"5c0e7a21d94b36f9"}"#;
+    assert_eq!(story(&[other, "no log line", "{}", "{\"time_ms\":"]).cause(), Cause::Unknown);
+}
+
+#[test]
+fn a_refusal_names_the_wait_and_the_room() {
+    let answer = r#"{"time_ms":1400,"node":"entry-1","decision":"answer","job":"JOB","answer":"refused","why":"no-room-in-time","after":"400ms","waited":"400ms","late_by":"300ms","waiting":12,"room":0}"#;
+    assert_eq!(
+        cause(&[ADMIT, answer]),
+        "refused, it has not run: no room for 400ms; 12 other jobs waited, other entries had room \
+         for 0 tasks"
+    );
+}
+
+#[test]
+fn a_hung_executor_is_named() {
+    let stop = r#"{"time_ms":1350,"node":"entry-2","decision":"stop-run","run":"JOB.0.0.1#1","executor":"i-7","why":"overdue"}"#;
+    let answer = r#"{"time_ms":1500,"node":"entry-1","decision":"answer","job":"JOB","answer":"given-up","why":"out-of-time","after":"500ms","waited":"1ms","late_by":"200ms","waiting":0,"room":3}"#;
+    assert_eq!(
+        cause(&[answer, stop, START, PLACE, ADMIT]),
+        format!(
+            "given up after it began: run {JOB}.0.0.1#1 at executor i-7 ran on for several times its \
+             estimate and was stopped"
+        )
+    );
+}
+
+#[test]
+fn a_silent_executor_is_told_from_a_slow_one() {
+    let silent = r#"{"time_ms":1600,"node":"entry-2","decision":"keep","executor":"i-7","change":"silent","token":3,"runs":1}"#;
+    let ended = r#"{"time_ms":1800,"node":"entry-2","decision":"run-ended","run":"JOB.0.0.1#1","executor":"i-7","how":"lease-over","after":"790ms"}"#;
+    let answer = r#"{"time_ms":2100,"node":"entry-1","decision":"answer","job":"JOB","answer":"completed","why":"all-done","after":"1100ms","waited":"1ms","late_by":"300ms","waiting":0,"room":3}"#;
+    assert_eq!(
+        cause(&[ADMIT, PLACE, START, silent, ended, answer]),
+        format!(
+            "completed 300ms late: run {JOB}.0.0.1#1 at executor i-7 was lost: the executor was \
+             silent until its lease was over (the executor did not answer)"
+        )
+    );
+}
+
+#[test]
+fn a_failed_run_is_told_by_its_listed_end() {
+    let ended = r#"{"time_ms":1100,"node":"entry-2","decision":"run-ended","run":"JOB.0.0.1#1","executor":"i-7","how":{"listed":"failed"},"after":"90ms"}"#;
+    let task = r#"{"time_ms":1101,"node":"entry-1","decision":"task-ended","job":"JOB","index":1,"run":1,"end":"failed","failures":2,"again":false}"#;
+    let answer = r#"{"time_ms":1101,"node":"entry-1","decision":"answer","job":"JOB","answer":"failed","why":"failures","after":"101ms","waited":"1ms","late_by":"0s","waiting":0,"room":3}"#;
+    assert_eq!(cause(&[ADMIT, START, ended, task, answer]), "failed: task 1 failed 2 times");
+}
+
+#[test]
+fn a_lost_entry_is_named_by_its_next_start() {
+    let start = r#"  1.9 entry-1 {"timestamp":"1970-01-01T00:00:01.900000Z","level":"INFO","fields":{"message":"starting","name":"entry-1"},"target":"adapter::process"}"#;
+    assert_eq!(
+        cause(&[ADMIT, PLACE, start]),
+        "its entry entry-1 ended before the answer and started again 900 ms after it took the job"
+    );
+    assert_eq!(cause(&[ADMIT, PLACE]), "the log of its entry entry-1 ends before the answer");
+}
+
+#[test]
+fn a_caller_that_left_is_told() {
+    let left = r#"{"time_ms":1300,"node":"entry-1","decision":"left","job":"JOB","placed":4}"#;
+    assert_eq!(cause(&[ADMIT, PLACE, START, left]), "its caller left before the answer");
+}
+
+#[test]
+fn a_request_that_was_turned_away_is_told_by_its_path() {
+    let line = r#"{"timestamp":"2026-12-02T20:39:42.481561Z","level":"INFO","fields":{"message":"a request was turned away: no such queue","path":"/jobs/JOB","version":3}}"#;
+    assert_eq!(
+        cause(&[line]),
+        "turned away by : a request was turned away: no such queue; it has not run"
+    );
+}
+
+#[test]
+fn a_wait_at_a_keeper_is_told() {
+    let start = START.replace("\"waited\":\"0s\"", "\"waited\":\"150ms\"");
+    let answer = r#"{"time_ms":1500,"node":"entry-1","decision":"answer","job":"JOB","answer":"completed","why":"all-done","after":"500ms","waited":"30ms","late_by":"100ms","waiting":0,"room":3}"#;
+    assert_eq!(
+        cause(&[ADMIT, PLACE, &start, answer]),
+        format!("completed 100ms late: run {JOB}.0.0.1#1 waited 150ms at its keeper")
+    );
+}
+
+#[test]
+fn lines_come_in_order_of_time() {
+    let story = story(&[START, ADMIT, PLACE]);
+    let times: Vec<_> = story.lines().iter().map(|line| line.time_ms).collect();
+    assert_eq!(times, [1_000, 1_001, 1_003]);
+}
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -181,6 +181,8 @@
         why: Reason,
         /// Time since the job arrived here.
         after: Span,
+        /// The part of it before any task was sent to a keeper.
+        waited: Span,
         /// Time by which it is late; zero if it is not.
         late_by: Span,
         /// Jobs that wait here.
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -17,6 +17,8 @@
     pub(crate) tasks: Vec<Task>,
     /// Some task has run, or may have.
     pub(crate) ran: bool,
+    /// When the first task was sent to a keeper.
+    pub(crate) placed_at: Option<Time>,
 }
 
 /// A task of a job.
@@ -56,7 +58,7 @@
             avoid: Vec::new(),
         };
         let tasks = (0..job.tasks).map(|_| task()).collect();
-        Self { key, job: Arc::new(job), waiter, arrived: now, tasks, ran: false }
+        Self { key, job: Arc::new(job), waiter, arrived: now, tasks, ran: false, placed_at: None }
     }
 
     /// Positions of the tasks that may be sent now.
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -197,6 +197,7 @@
             answer: name,
             why,
             after: now.since(open.arrived),
+            waited: open.placed_at.unwrap_or(now).since(open.arrived),
             late_by: now.since(open.job.due),
             waiting: self.waiting(),
             room: self.peers.with_room(now).map(|(_, room)| room).sum(),
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -97,6 +97,7 @@
 
 /// Marks the tasks of a share as placed.
 fn send(now: Time, open: &mut Open, share: &Share) -> Placement {
+    open.placed_at.get_or_insert(now);
     let job = &open.job;
     let place = |index: &u16| {
         let task = &mut open.tasks[usize::from(*index)];
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -79,6 +79,15 @@
 Example:
   primrosestep drain --entry 10.0.0.7:8080 --key $OPERATOR_KEY")]
     Drain(Entry),
+    /// Tell from logs what became of a job.
+    #[command(after_help = "\
+Reads the log lines of any number of entries, in any order, from files or from standard input, and
+prints those about the job in order of time, then the cause of its end.
+
+Examples:
+  primrosestep explain 5c0e7a21d94b36f8 entry-1.log entry-2.log
+  cat *.log | primrosestep explain 5c0e7a21d94b36f8")]
+    Explain(Explain),
     /// Make keys and certificates.
     #[command(
         subcommand,
@@ -106,6 +115,15 @@
     pub(crate) dir: PathBuf,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub(crate) struct Explain {
+    /// The caller's name of the job.
+    pub(crate) job: CompactString,
+    /// Logs; standard input if there are none.
+    pub(crate) logs: Vec<PathBuf>,
+}
+
 /// Where the platform is.
 #[derive(Debug, Args)]
 pub(crate) struct Platform {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod diff;
 mod drain;
+mod explain;
 mod fetch;
 mod input;
 mod keys;
@@ -34,6 +35,7 @@
         Command::Fetch(args) => fetch::run(&args, console),
         Command::Cancel(args) => cancel::run(&args, console),
         Command::Drain(args) => drain::run(&args, console),
+        Command::Explain(args) => explain::run(&args, console),
         Command::Keys(args) => keys::run(&args, console),
         Command::Demo(args) => demo::run(&args, console),
         Command::Completions(args) => Ok(completions::run(&args, console)),
