--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -168,6 +168,7 @@
                 let moved = self.keeper.take_over(now, &self.view, yielded, out);
                 self.tell_moved(moved, out);
             }
+            Message::Disclaim(executors) => self.keeper.disclaimed(now, from, &executors, out),
             Message::Moved(tasks) => self.jobs.moved(from, &tasks),
             // Dealt with by the process, which reads the document.
             Message::Configuration { .. } => {}
@@ -192,6 +193,7 @@
         }
         self.jobs.keeper_lost(now, peer);
         self.keeper.home_lost(now, peer, out);
+        self.keeper.peer_lost(now, peer, out);
         let changed = self.view.disconnect(peer);
         self.view_changed(now, changed, out);
     }
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -7,7 +7,10 @@
     job::{Run, Task},
 };
 use rustc_hash::FxHashMap;
-use site::unit::{Resources, Span, Time};
+use site::{
+    id::Home,
+    unit::{Resources, Span, Time},
+};
 
 /// An executor that this entry keeps.
 #[derive(Debug)]
@@ -37,6 +40,8 @@
     pub(crate) look_at: Option<Time>,
     /// Looks in a row without an answer.
     pub(crate) silent: u32,
+    /// Entries that were asked for what they know and have not answered.
+    pub(crate) asked: Vec<Home>,
     /// No start before then: the executor said that it has no room.
     pub(crate) full_until: Time,
     /// How many times as long as others it takes.
@@ -48,8 +53,8 @@
 pub(crate) enum Phase {
     /// The view that makes this entry its keeper is new.
     Settling {
-        /// When it counts as settled.
-        until: Time,
+        /// Since when.
+        since: Time,
     },
     /// Other entries were asked for what they know.
     Claiming {
@@ -140,11 +145,17 @@
             looks: 0,
             look_at: None,
             silent: 0,
+            asked: Vec::new(),
             full_until: Time(0),
             slow: 1.0,
         }
     }
 
+    /// Whether this entry has used the executor, so that it knows what runs there.
+    pub(crate) fn is_in_use(&self) -> bool {
+        matches!(self.phase, Phase::Looking | Phase::Ready)
+    }
+
     pub(crate) fn free(&self) -> Resources {
         self.executor.capacity.minus(&self.used)
     }
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -126,7 +126,7 @@
     pub(crate) fn reconcile(&mut self, now: Time, view: &View, out: &mut Vec<Action>) {
         for executor in self.known.values() {
             if !self.leases.contains_key(&executor.id) && view.keeps(executor) {
-                let phase = Phase::Settling { until: now + self.options.settle };
+                let phase = Phase::Settling { since: now };
                 self.leases.insert(executor.id, Lease::new(executor.clone(), phase));
                 self.health.insert(executor.id);
             }
@@ -161,7 +161,10 @@
         executors: &[EndpointId],
         out: &mut Vec<Action>,
     ) {
-        for id in executors {
+        let (kept, others): (Vec<_>, Vec<_>) =
+            executors.iter().partition(|id| self.leases.get(id).is_some_and(Lease::is_in_use));
+        out.push(Action::Send { to, message: Message::Disclaim(others) });
+        for id in &kept {
             let Some(lease) = self.leases.get(id) else { continue };
             let message = Message::Yield(Yield {
                 executor: *id,
@@ -210,6 +213,39 @@
         moved
     }
 
+    /// Another entry does not keep these executors, or can't be asked.
+    pub(crate) fn disclaimed(
+        &mut self,
+        now: Time,
+        from: Home,
+        executors: &[EndpointId],
+        out: &mut Vec<Action>,
+    ) {
+        executors.iter().for_each(|id| self.end_claim(now, *id, Some(from), out));
+    }
+
+    /// The connection to an entry is lost that may have been asked for executors.
+    pub(crate) fn peer_lost(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
+        let asked = |lease: &&Lease| lease.asked.contains(&peer);
+        let ids: Vec<_> = self.leases.values().filter(asked).map(|l| l.executor.id).collect();
+        self.disclaimed(now, peer, &ids, out);
+    }
+
+    /// Notes who has answered a claim; without anybody left to ask, the executor is looked at.
+    fn end_claim(
+        &mut self,
+        now: Time,
+        id: EndpointId,
+        answered: Option<Home>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        lease.asked.retain(|home| Some(*home) != answered);
+        if matches!(lease.phase, Phase::Claiming { .. }) && lease.asked.is_empty() {
+            self.begin_look(now, id, out);
+        }
+    }
+
     /// The process did not run for a while: its leases may have lapsed and what waits is stale.
     pub(crate) fn pause(&mut self) {
         for queued in self.queue.drain() {
@@ -251,18 +287,17 @@
     ) {
         let Some(lease) = self.leases.get_mut(&id) else { return };
         match lease.phase {
-            Phase::Settling { until } if until <= now => {
+            Phase::Settling { since } if self.options.is_settled(now, since, view) => {
                 lease.token = view.token(lease.tries);
                 lease.phase = Phase::Claiming { until: now + self.options.claim_timeout };
+                lease.asked = view.linked().collect();
                 log_keep(lease, KeepChange::Claim, out);
                 claims.push(id);
-                if view.linked().next().is_none() {
-                    self.begin_look(now, id, out);
-                }
+                self.end_claim(now, id, None, out);
             }
             Phase::Claiming { until } if until <= now => self.begin_look(now, id, out),
             Phase::Fenced { until } if until <= now => {
-                lease.phase = Phase::Settling { until: now };
+                lease.phase = Phase::Settling { since: now };
             }
             Phase::Settling { .. } | Phase::Claiming { .. } | Phase::Fenced { .. } => {}
             Phase::Looking | Phase::Ready => self.tick_runs(now, id, out),
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -25,6 +25,8 @@
     Claim(Vec<EndpointId>),
     /// What the sender knew of an executor that it keeps no longer.
     Yield(Yield),
+    /// The sender does not keep these executors, which the receiver has claimed.
+    Disclaim(Vec<EndpointId>),
     /// The sender is now the keeper of these tasks' runs.
     Moved(Vec<Task>),
     /// The operator's newest configuration, for entries that can't reach the platform's store.
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -1,6 +1,7 @@
 //! Limits of an entry's logic.
 
-use site::unit::Span;
+use crate::view::View;
+use site::unit::{Span, Time};
 
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,9 +19,11 @@
     pub look_retry: Span,
     /// Pause before ends are acknowledged when nothing runs.
     pub acknowledge_after: Span,
-    /// Pause before an executor is taken over, so that views that are still changing settle and
-    /// fewer executors change hands twice.
+    /// Least pause before an executor is taken over, so that views that are still changing settle.
     pub settle: Span,
+    /// Longest pause for connections to the other entries to come up: whoever keeps the executor
+    /// can only hand it over if it is asked.
+    pub settle_limit: Span,
     /// How long the former keeper may take to hand an executor over before it is looked at
     /// without.
     pub claim_timeout: Span,
@@ -55,6 +58,14 @@
     pub stale_after: Span,
 }
 
+impl Options {
+    /// Whether an executor that this entry has kept for itself since a moment may be claimed.
+    pub(crate) fn is_settled(&self, now: Time, since: Time, view: &View) -> bool {
+        let waited = now.since(since);
+        waited >= self.settle_limit || (waited >= self.settle && view.is_connected())
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Options {
@@ -63,7 +74,8 @@
             look_wait: Span::from_millis(150),
             look_retry: Span::from_millis(100),
             acknowledge_after: Span::from_millis(400),
-            settle: Span::from_millis(200),
+            settle: Span::from_millis(20),
+            settle_limit: Span::from_millis(200),
             claim_timeout: Span::from_millis(300),
             fenced_pause: Span::from_millis(1_000),
             start_grace: Span::from_millis(40),
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -85,6 +85,11 @@
         self.linked.iter().copied()
     }
 
+    /// Whether all entries that the store lists are connected.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.listed.iter().all(|home| *home == self.me || self.linked.contains(home))
+    }
+
     pub(crate) fn keepers(&self) -> &[Home] {
         &self.keepers
     }
