--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -13,7 +13,7 @@
 use rustc_hash::FxHashMap;
 use site::{
     id::Home,
-    unit::{Revision, Span, Time},
+    unit::{Span, Time},
 };
 
 /// How often [`Event::Tick`] is due. Short against the shortest tasks, 50 ms.
@@ -158,9 +158,9 @@
             }
             Message::Report(report) => {
                 self.clocks.entry(from).or_default().age(now, report.sent);
-                self.jobs.peers.report(now, from, report);
                 self.view.see(report.revision);
                 let changed = self.view.set_leaving(from, report.leaving);
+                self.jobs.peers.report(now, from, report);
                 self.view_changed(now, changed, out);
             }
             Message::Claim(executors) => self.keeper.hand_over(now, from, &executors, out),
@@ -295,17 +295,15 @@
         if self.jobs.peers.len() == 0 {
             return;
         }
-        let (old, at) = self.reported;
-        let age = now.since(at);
+        let age = now.since(self.reported.1);
         if age < self.options.report_interval {
             return;
         }
         let report = self.report(now);
-        let comparable = |report| Report { revision: Revision(0), sent: Time(0), ..report };
-        if comparable(report) == comparable(old) && age < self.options.report_refresh {
+        if !report.is_news(&self.reported.0) && age < self.options.report_refresh {
             return;
         }
-        self.reported = (report, now);
+        self.reported = (report.clone(), now);
         let message = Message::Report(report);
         out.extend(self.view.linked().map(|to| Action::Send { to, message: message.clone() }));
     }
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -68,6 +68,11 @@
         tasks.filter(|(_, task)| waits(task)).map(|(index, _)| index as u16).collect()
     }
 
+    pub(crate) fn has_waiting_now(&self, now: Time) -> bool {
+        let waits = |task: &Task| matches!(task.state, State::Waiting { from } if from <= now);
+        self.tasks.iter().any(waits)
+    }
+
     pub(crate) fn has_waiting(&self) -> bool {
         self.tasks.iter().any(|task| matches!(task.state, State::Waiting { .. }))
     }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -192,6 +192,7 @@
             Reason::Failures => (Answer::Failed, "failed"),
             _ => (Answer::GivenUp, "given-up"),
         };
+        let cores = open.job.needs.cores.0;
         out.push(Action::Log(Decision::Answer {
             job: open.job.name.clone(),
             answer: name,
@@ -200,7 +201,7 @@
             waited: open.placed_at.unwrap_or(now).since(open.arrived),
             late_by: now.since(open.job.due),
             waiting: self.waiting(),
-            room: self.peers.with_room(now).map(|(_, room)| room).sum(),
+            room: self.peers.with_room(now).map(|(_, room)| room.count(cores)).sum(),
         }));
         out.push(Action::Answer { waiter: open.waiter, answer });
         self.cancel_placed(&open, out)
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -1,6 +1,6 @@
 //! What a home knows of the keepers that it sends tasks to.
 
-use crate::message::Report;
+use crate::message::{Report, Room};
 use rustc_hash::FxHashMap;
 use site::{
     id::Home,
@@ -18,7 +18,7 @@
 }
 
 /// One keeper.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
     pub(crate) report: Report,
     pub(crate) at: Time,
@@ -40,15 +40,16 @@
     }
 
     /// Keepers with room, and how much.
-    pub(crate) fn with_room(&self, now: Time) -> impl Iterator<Item = (Home, u32)> {
-        let usable = move |peer: &Peer| peer.report.room > 0 && now.since(peer.at) < REPORT_AGE;
-        self.peers.iter().filter(move |(_, p)| usable(p)).map(|(home, p)| (*home, p.report.room))
+    pub(crate) fn with_room(&self, now: Time) -> impl Iterator<Item = (Home, &Room)> {
+        let usable =
+            move |peer: &Peer| !peer.report.room.is_empty() && now.since(peer.at) < REPORT_AGE;
+        self.peers.iter().filter(move |(_, p)| usable(p)).map(|(home, p)| (*home, &p.report.room))
     }
 
     /// Notes that tasks were sent, until the next report.
-    pub(crate) fn take(&mut self, peer: Home, tasks: u32) {
+    pub(crate) fn take(&mut self, peer: Home, cores: u32, tasks: u32) {
         if let Some(peer) = self.peers.get_mut(&peer) {
-            peer.report.room = peer.report.room.saturating_sub(tasks);
+            peer.report.room.take(cores, tasks);
         }
     }
 
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -1,10 +1,14 @@
 //! Which keepers get the tasks that wait.
 
-use super::{Jobs, job::Open, job::State};
+use super::{
+    Jobs,
+    job::{Open, State},
+};
 use crate::{
     Action, Message,
     action::Decision,
-    message::{Place, Placement},
+    job::Key,
+    message::{Place, Placement, Room},
 };
 use site::{id::Home, unit::Time};
 use std::cmp::Reverse;
@@ -12,48 +16,50 @@
 /// Tasks of a job that go to one keeper.
 struct Share {
     keeper: Home,
+    /// How many such tasks it was believed to have room for.
     room: u32,
     tasks: Vec<u16>,
 }
 
+/// A keeper that tasks of one job may be sent to.
+#[derive(Clone, Copy)]
+struct Candidate {
+    keeper: Home,
+    /// Tasks of the job that can start there at once.
+    count: u32,
+    /// Tasks that may wait there for the next one to end.
+    ahead: u32,
+}
+
 impl Jobs {
     /// Sends waiting tasks to keepers with room, the most pressing job first. `own` is the room of
     /// this entry's executors. Returns what is placed there.
     pub(crate) fn place(
         &mut self,
         now: Time,
-        mut own: u32,
+        mut own: Room,
         out: &mut Vec<Action>,
     ) -> Vec<Placement> {
         let mut order: Vec<_> = self
             .open
             .values()
-            .filter(|open| !open.waiting(now).is_empty() && !open.is_too_late(now))
+            .filter(|open| open.has_waiting_now(now) && !open.is_too_late(now))
             .map(|open| open.rank(now))
             .collect();
         order.sort_unstable();
         let mut placements = Vec::new();
         for (.., key) in order {
-            let rooms = self.rooms(now, own);
-            if rooms.is_empty() {
-                break;
-            }
-            let Some(open) = self.open.get_mut(&key.number) else { continue };
-            for share in divide(open.waiting(now), rooms) {
+            let Some(open) = self.open.get(&key.number) else { continue };
+            let cores = open.job.needs.cores.0;
+            let candidates = self.candidates(now, &own, cores);
+            for share in divide(open.waiting(now), candidates) {
                 let count = share.tasks.len() as u32;
-                out.push(Action::Log(Decision::Place {
-                    job: open.job.name.clone(),
-                    tasks: share.tasks.len(),
-                    keeper: share.keeper,
-                    room: share.room,
-                    age: self.peers.age(now, share.keeper),
-                }));
-                let placement = send(now, open, &share);
+                let Some(placement) = self.send(now, key, &share, out) else { continue };
                 if share.keeper == self.me {
-                    own = own.saturating_sub(count);
+                    own.take(cores, count);
                     placements.push(placement);
                 } else {
-                    self.peers.take(share.keeper, count);
+                    self.peers.take(share.keeper, cores, count);
                     let message = Message::Place(placement);
                     out.push(Action::Send { to: share.keeper, message });
                 }
@@ -64,39 +70,64 @@
 
     /// Keepers with room, in the order in which they are preferred: this entry, then those of its
     /// data centre, then those with most room.
-    fn rooms(&self, now: Time, own: u32) -> Vec<(Home, u32)> {
-        let mut rooms: Vec<_> = self.peers.with_room(now).collect();
-        if own > 0 {
-            rooms.push((self.me, own));
-        }
-        let near = |home: Home| home.data_centre == self.me.data_centre;
-        rooms.sort_by_key(|(home, room)| (*home != self.me, !near(*home), Reverse(*room), *home));
-        rooms
+    fn candidates(&self, now: Time, own: &Room, cores: u32) -> Vec<Candidate> {
+        let own = (!own.is_empty()).then_some((self.me, own));
+        let rooms = self.peers.with_room(now).chain(own);
+        let mut candidates: Vec<_> = rooms
+            .map(|(keeper, room)| Candidate { keeper, count: room.count(cores), ahead: room.ahead })
+            .collect();
+        let far = |home: Home| home.data_centre != self.me.data_centre;
+        candidates.sort_by_key(|Candidate { keeper, count, .. }| {
+            (*keeper != self.me, far(*keeper), Reverse(*count), *keeper)
+        });
+        candidates
+    }
+
+    /// Marks the tasks of a share as placed; returns what their keeper has to know.
+    fn send(
+        &mut self,
+        now: Time,
+        key: Key,
+        share: &Share,
+        out: &mut Vec<Action>,
+    ) -> Option<Placement> {
+        let age = self.peers.age(now, share.keeper);
+        let open = self.open.get_mut(&key.number)?;
+        out.push(Action::Log(Decision::Place {
+            job: open.job.name.clone(),
+            tasks: share.tasks.len(),
+            keeper: share.keeper,
+            room: share.room,
+            age,
+        }));
+        Some(placement(now, open, share))
     }
 }
 
 /// Divides tasks among keepers: all to the first that has room for them, else to those with the
-/// most room.
-fn divide(mut tasks: Vec<u16>, mut rooms: Vec<(Home, u32)>) -> Vec<Share> {
-    let count = tasks.len() as u32;
-    if let Some((keeper, room)) = rooms.iter().copied().find(|(_, room)| *room >= count) {
-        return vec![Share { keeper, room, tasks }];
+/// most room. Only where there is none at all, tasks go ahead of it.
+fn divide(mut tasks: Vec<u16>, mut candidates: Vec<Candidate>) -> Vec<Share> {
+    let wanted = tasks.len() as u32;
+    if let Some(first) = candidates.iter().find(|candidate| candidate.count >= wanted) {
+        return vec![Share { keeper: first.keeper, room: first.count, tasks }];
     }
-    rooms.sort_by_key(|(_, room)| Reverse(*room));
+    let any = candidates.iter().any(|candidate| candidate.count > 0);
+    candidates.sort_by_key(|candidate| Reverse(candidate.count));
     let mut shares = Vec::new();
-    for (keeper, room) in rooms {
-        if tasks.is_empty() {
+    for Candidate { keeper, count, ahead } in candidates {
+        let most = if any { count } else { ahead };
+        if tasks.is_empty() || most == 0 {
             break;
         }
-        let rest = tasks.split_off(tasks.len().min(room as usize));
-        shares.push(Share { keeper, room, tasks });
+        let rest = tasks.split_off(tasks.len().min(most as usize));
+        shares.push(Share { keeper, room: count, tasks });
         tasks = rest;
     }
     shares
 }
 
 /// Marks the tasks of a share as placed.
-fn send(now: Time, open: &mut Open, share: &Share) -> Placement {
+fn placement(now: Time, open: &mut Open, share: &Share) -> Placement {
     open.placed_at.get_or_insert(now);
     let job = &open.job;
     let place = |index: &u16| {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -13,7 +13,7 @@
     Action, Executor, Message, Options,
     action::{Decision, Ending, KeepChange},
     job::{Run, Task},
-    message::{self, End, Placement, Yield, Yielded},
+    message::{self, End, Placement, Room, Yield, Yielded},
     view::View,
 };
 use health::Monitor;
@@ -62,16 +62,20 @@
         std::mem::take(&mut self.ends)
     }
 
-    /// Tasks of usual size that may be sent here now.
-    pub(crate) fn room(&self, now: Time) -> u32 {
-        if !self.leases.values().any(|lease| lease.is_usable(now)) {
-            return 0;
-        }
-        let free = |lease: &Lease| lease.free().count(&self.typical);
+    /// What may be sent here now.
+    pub(crate) fn room(&self, now: Time) -> Room {
         let usable =
             |lease: &&Lease| lease.is_usable(now) && self.health.is_open(lease.executor.id);
-        let free: u32 = self.leases.values().filter(usable).map(free).sum();
-        (free + self.options.queue_ahead).saturating_sub(self.queue.len() as u32)
+        let usable: Vec<_> = self.leases.values().filter(usable).collect();
+        if usable.is_empty() {
+            return Room::default();
+        }
+        let free = usable.iter().map(|lease| lease.free().cores.0);
+        let mut cores: Vec<_> = free.filter(|free| *free > 0).collect();
+        cores.sort_unstable();
+        let mut room = Room { cores, ahead: self.options.queue_ahead };
+        room.take(self.typical.cores.0, self.queue.len() as u32);
+        room
     }
 
     /// Tasks of usual size that run at one time on the executors in use.
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -40,6 +40,9 @@
             }
             match self.choose(now, &queued) {
                 Some(executor) => self.start(now, executor, queued, out),
+                None if now.since(queued.since) > self.options.queue_hold => {
+                    self.ends.push(queued.ended(End::NotRun));
+                }
                 None => self.queue.push(queued),
             }
         }
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -109,12 +109,12 @@
 }
 
 /// What a keeper's executors have room for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// When it was sent, by the sender's clock.
     pub sent: Time,
-    /// Tasks of usual size that may be sent to it now.
-    pub room: u32,
+    /// Its room.
+    pub room: Room,
     /// Tasks of usual size that its executors can run at one time.
     pub capacity: u32,
     /// It is about to stop and must keep nothing.
@@ -125,6 +125,49 @@
     pub revision: Revision,
 }
 
+impl Report {
+    /// Whether it says anything that matters beyond an older one.
+    pub(crate) fn is_news(&self, old: &Report) -> bool {
+        self.room != old.room
+            || self.capacity != old.capacity
+            || self.leaving != old.leaving
+            || self.configuration != old.configuration
+    }
+}
+
+/// Room for tasks.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    /// Thousandths of a core that are free at each executor that takes tasks and has any. Other
+    /// resources bind rarely; a task that lacks one comes back.
+    pub cores: Vec<u32>,
+    /// Tasks that may be sent beyond that, so that no capacity idles while their home hears of it.
+    pub ahead: u32,
+}
+
+impl Room {
+    /// How many tasks that need `cores` fit.
+    pub fn count(&self, cores: u32) -> u32 {
+        self.cores.iter().map(|free| free / cores.max(1)).sum()
+    }
+
+    /// Notes that tasks that need `cores` were sent, to the fullest executors that fit them.
+    pub fn take(&mut self, cores: u32, tasks: u32) {
+        for _ in 0..tasks {
+            let fitting = self.cores.iter_mut().filter(|free| **free >= cores);
+            match fitting.min() {
+                Some(free) => *free -= cores,
+                None => self.ahead = self.ahead.saturating_sub(1),
+            }
+        }
+    }
+
+    /// Whether nothing may be sent.
+    pub fn is_empty(&self) -> bool {
+        self.cores.is_empty() && self.ahead == 0
+    }
+}
+
 /// What a former keeper knew of an executor.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Yield {
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -41,6 +41,9 @@
     /// Tasks that a keeper queues beyond its room, so that no capacity idles while a home hears of
     /// it.
     pub queue_ahead: u32,
+    /// How long a keeper holds a task without starting it before it hands it back; its home may
+    /// know of room elsewhere. Three times as long as it takes 18 busy slots to free one.
+    pub queue_hold: Span,
     /// Least time between two reports of a keeper's room to its peers.
     pub report_interval: Span,
     /// A peer's report is repeated after this time without a change.
@@ -83,6 +86,7 @@
             stop_time: Span::from_millis(60),
             overdue_margin: Span::from_millis(150),
             queue_ahead: 1,
+            queue_hold: Span::from_millis(25),
             report_interval: Span::from_millis(15),
             report_refresh: Span::from_millis(150),
             pause_limit: Span::from_millis(900),
