Refuse untouched jobs after 1.1 of their objective, reckon the latest start by 1.4 estimates

Cause: in a burst of three times the traffic, jobs were held until nobody needed them and then refused.

--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -3,10 +3,19 @@
 use crate::job::{self, Job, Key};
 use site::{
     id::{EndpointId, Home, WaiterId},
-    unit::Time,
+    unit::{Span, Time},
 };
 use std::sync::Arc;
 
+/// How long a job waits for its first start before it is refused, as a part of the time until its
+/// answer is late. Beyond the latest start at which it is in time, and below half of the time for
+/// which its caller waits: a refusal that comes later helps nobody.
+const PATIENCE_PERCENT: u64 = 110;
+
+/// What a task is taken to last when its latest start is reckoned, as a part of its estimate.
+/// Estimates are off by up to 40%, and some executors are slower.
+const CAUTION_PERCENT: u64 = 140;
+
 /// A job whose caller waits.
 #[derive(Debug)]
 pub(crate) struct Open {
@@ -95,6 +104,13 @@
         !self.ran && self.placed().next().is_none()
     }
 
+    /// Whether the job has waited for its first start for so long that its caller is better off
+    /// with a refusal.
+    pub(crate) fn has_waited_enough(&self, now: Time) -> bool {
+        let patience = self.job.due.since(self.arrived).0 * PATIENCE_PERCENT / 100;
+        self.is_untouched() && now.since(self.arrived) > Span(patience)
+    }
+
     /// Whether a task that starts now ends too late for anyone, by the estimate.
     pub(crate) fn is_too_late(&self, now: Time) -> bool {
         now + self.job.estimate > self.job.give_up
@@ -102,7 +118,8 @@
 
     /// The latest start at which the job is in time.
     pub(crate) fn start_by(&self) -> Time {
-        Time(self.job.due.0.saturating_sub(self.job.estimate.0))
+        let estimate = self.job.estimate.0 * CAUTION_PERCENT / 100;
+        Time(self.job.due.0.saturating_sub(estimate))
     }
 
     /// Sorts jobs that have begun first, then what can still be in time, the most pressing first.
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -171,6 +171,7 @@
             let late = now >= open.job.give_up;
             match (open.is_untouched(), open.has_waiting() && open.is_too_late(now)) {
                 (true, true) => Some(Reason::NoRoomInTime),
+                (true, false) if open.has_waited_enough(now) => Some(Reason::NoRoomInTime),
                 (false, true) if open.ran => Some(Reason::LostTooLate),
                 (false, _) if late => Some(Reason::OutOfTime),
                 _ => None,
