--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -42,6 +42,17 @@
         /// Room at other entries at the end.
         room: u64,
     },
+    /// It came too late.
+    #[display(
+        "refused, it has not run: its answer was of use for {give_up_in} more, and a task takes \
+         {estimate}"
+    )]
+    TooLate {
+        /// For how long its answer was of use when it arrived.
+        give_up_in: CompactString,
+        /// How long a task was to take.
+        estimate: CompactString,
+    },
     /// Its home had not run for a while and refused it.
     #[display("refused, it has not run: {node} did not run for a while")]
     HomePaused {
@@ -96,6 +107,16 @@
         /// How.
         how: CompactString,
     },
+    /// A run had not ended.
+    #[display("run {run} at executor {executor} had not ended{silent}")]
+    Unended {
+        /// Which.
+        run: CompactString,
+        /// Where.
+        executor: CompactString,
+        /// Whether the executor answered at the end.
+        silent: Silent,
+    },
     /// A keeper lost its tasks.
     #[display("tasks were at an entry that was lost")]
     KeeperLost,
@@ -124,6 +145,17 @@
     LongTasks,
 }
 
+/// Whether an executor answered.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Silent {
+    /// It did, as far as the logs tell.
+    #[display("")]
+    No,
+    /// It did not.
+    #[display(" (the executor did not answer)")]
+    Yes,
+}
+
 /// A wait at a keeper below this explains no delay.
 const LONG_WAIT_MS: f64 = 20.0;
 
@@ -160,6 +192,10 @@
             Cause::Late { late_by: line.text("late_by").into(), why: delay(story, lines, line) }
         }
         ("refused", "paused") => Cause::HomePaused { node: line.node.clone() },
+        ("refused", _) if came_too_late(lines) => {
+            let text = |field| first(lines, "admit").map_or("", |line| line.text(field)).into();
+            Cause::TooLate { give_up_in: text("give_up_in"), estimate: text("estimate") }
+        }
         ("refused", _) => {
             Cause::NoRoom { waited, waiting: line.number("waiting"), room: line.number("room") }
         }
@@ -179,9 +215,15 @@
     if answer.text("why") == "paused" {
         return Delay::Paused { node: answer.node.clone() };
     }
-    let went_wrong = lines
-        .iter()
-        .find(|line| matches!(line.what.as_str(), "run-ended" | "stop-run" | "start-refused"));
+    let went_wrong = lines.iter().find(|line| {
+        line.time_ms <= answer.time_ms
+            && matches!(line.what.as_str(), "run-ended" | "stop-run" | "start-refused")
+            && line.text("why") != "cancelled"
+    });
+    let unended = lines.iter().find(|line| line.text("why") == "cancelled");
+    if let (None, Some(line)) = (went_wrong, unended) {
+        return unended_run(story, line);
+    }
     if let Some(line) = went_wrong {
         return Delay::Run {
             run: line.text("run").into(),
@@ -206,6 +248,30 @@
     }
 }
 
+/// A run that was stopped only because its job had its answer.
+fn unended_run(story: &Story, line: &Line) -> Delay {
+    let executor = line.text("executor");
+    Delay::Unended {
+        run: line.text("run").into(),
+        executor: executor.into(),
+        silent: if is_silent(story, executor, line.time_ms) { Silent::Yes } else { Silent::No },
+    }
+}
+
+fn is_silent(story: &Story, executor: &str, at_ms: u64) -> bool {
+    story.keep_before(executor, at_ms).is_some_and(|keep| keep.text("change") == "silent")
+}
+
+fn first<'a>(lines: &[&'a Line], what: &str) -> Option<&'a Line> {
+    lines.iter().find(|line| line.what == what).copied()
+}
+
+/// Whether a job could not have ended in time even if it had started when it arrived.
+fn came_too_late(lines: &[&Line]) -> bool {
+    first(lines, "admit")
+        .is_some_and(|line| millis(line.text("give_up_in")) < millis(line.text("estimate")))
+}
+
 /// What a line says went wrong with a run.
 fn describe(story: &Story, line: &Line) -> CompactString {
     let executor = line.text("executor");
@@ -214,7 +280,6 @@
             "overdue" => "ran on for several times its estimate and was stopped",
             "start-lost" => "was started without an answer, is not listed, and was stopped",
             "home-lost" => "was stopped, since its home was not heard of",
-            "cancelled" => "was stopped, since its answer was not wanted any more",
             _ => "was stopped, since its keeper did not know it",
         },
         "start-refused" => {
@@ -232,11 +297,9 @@
             },
         },
     };
-    let silent =
-        story.keep_before(executor, line.time_ms).filter(|keep| keep.text("change") == "silent");
-    match silent {
-        Some(_) => format!("{how} (the executor did not answer)").into(),
-        None => how.into(),
+    match is_silent(story, executor, line.time_ms) {
+        true => format!("{how} (the executor did not answer)").into(),
+        false => how.into(),
     }
 }
 
--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -111,3 +111,27 @@
     let times: Vec<_> = story.lines().iter().map(|line| line.time_ms).collect();
     assert_eq!(times, [1_000, 1_001, 1_003]);
 }
+
+#[test]
+fn a_job_that_came_too_late_is_told() {
+    let admit = r#"{"time_ms":1000,"node":"entry-1","decision":"admit","job":"JOB","tasks":4,"estimate":"200ms","give_up_in":"30ms","waiting":0}"#;
+    let answer = r#"{"time_ms":1000,"node":"entry-1","decision":"answer","job":"JOB","answer":"refused","why":"no-room-in-time","after":"0s","waited":"0s","late_by":"0s","waiting":0,"room":9}"#;
+    assert_eq!(
+        cause(&[admit, answer]),
+        "refused, it has not run: its answer was of use for 30ms more, and a task takes 200ms"
+    );
+}
+
+#[test]
+fn a_stop_after_the_answer_is_no_cause() {
+    let silent = r#"{"time_ms":1200,"node":"entry-2","decision":"keep","executor":"i-7","change":"silent","token":3,"runs":1}"#;
+    let answer = r#"{"time_ms":1500,"node":"entry-1","decision":"answer","job":"JOB","answer":"given-up","why":"out-of-time","after":"500ms","waited":"1ms","late_by":"200ms","waiting":0,"room":3}"#;
+    let stop = r#"{"time_ms":1501,"node":"entry-2","decision":"stop-run","run":"JOB.0.0.1#1","executor":"i-7","why":"cancelled"}"#;
+    assert_eq!(
+        cause(&[ADMIT, PLACE, START, silent, answer, stop]),
+        format!(
+            "given up after it began: run {JOB}.0.0.1#1 at executor i-7 had not ended (the executor \
+             did not answer)"
+        )
+    );
+}
--- a/components/runs/src/keeper/hold.rs
+++ b/components/runs/src/keeper/hold.rs
@@ -39,8 +39,9 @@
         if !due || lease.looking.is_some() {
             return;
         }
-        // Before its lists are known, the lease of what runs there is not prolonged.
-        let renew = lease.phase == Phase::Ready && !lease.runs.is_empty();
+        // Before its lists are known, the lease of what runs there is not prolonged; nor while it
+        // does not answer, or its runs would never be known to be over.
+        let renew = lease.phase == Phase::Ready && lease.silent == 0 && !lease.runs.is_empty();
         let deadline = if renew { lease.extend(now, span) } else { None };
         let quick = lease.phase == Phase::Looking || lease.silent > 0 || lease.runs.is_empty();
         let wait = if quick { Span::ZERO } else { self.options.look_wait };
--- a/components/runs/tests/days.rs
+++ b/components/runs/tests/days.rs
@@ -106,6 +106,20 @@
     }
 }
 
+#[test]
+fn tasks_of_a_dark_executor_run_elsewhere_once_its_lease_is_over() {
+    for seed in 0..5 {
+        let faults = vec![
+            (1_000, Fault::Dark { executor: 0, ms: 60_000 }),
+            (1_500, Fault::Dark { executor: 5, ms: 60_000 }),
+            (2_000, Fault::Dark { executor: 10, ms: 60_000 }),
+        ];
+        let world = play(plan(faults), seed);
+        // Jobs of 60 ms tasks may be too late after a lease of 700 ms; the others are not.
+        assert!(count(&world, "given-up") <= 3, "{:?}", world.answers);
+    }
+}
+
 #[test]
 fn lost_and_late_orders_start_nothing_twice() {
     for seed in 0..10 {
