--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -23,6 +23,9 @@
     linked: FxHashSet<Home>,
     leaving: FxHashSet<Home>,
     revision: Revision,
+    /// The store has listed this entry once. Before that, nobody counts on it, and it may not know
+    /// of the others.
+    joined: bool,
     /// Live entries that keep executors, sorted; what the above amounts to.
     keepers: Vec<Home>,
 }
@@ -35,6 +38,7 @@
             linked: FxHashSet::default(),
             leaving: FxHashSet::default(),
             revision: Revision(0),
+            joined: false,
             keepers: Vec::new(),
         };
         view.refresh();
@@ -44,6 +48,7 @@
     /// Takes a list of the store in; returns whether the keepers changed.
     pub(crate) fn list(&mut self, revision: Revision, members: Vec<Home>) -> bool {
         self.revision = self.revision.max(revision);
+        self.joined |= members.contains(&self.me);
         self.listed = members;
         self.refresh()
     }
@@ -101,6 +106,9 @@
     /// Whether this entry is to keep an executor: one of the executor's data centre if there is
     /// any, chosen alike by all who see the same entries.
     pub(crate) fn keeps(&self, executor: &Executor) -> bool {
+        if !self.joined {
+            return false;
+        }
         let near = |home: &&Home| home.data_centre == executor.data_centre;
         let stable = |home: &Home| Home { incarnation: Incarnation(0), ..*home };
         let mut homes: Vec<Home> = self.keepers.iter().filter(near).map(stable).collect();
