--- /dev/null
+++ b/components/runs/tests/common/world/callers.rs
@@ -0,0 +1,119 @@
+//! Callers: what they hand in, what they are told, when they come again.
+
+use super::{ANSWER_SLACK_US, Caller, RESEND_US, Step, World, needs, service};
+use rand::Rng;
+use runs::{Event, Job, job::Answer};
+use site::{
+    id::WaiterId,
+    unit::{Span, Time},
+};
+
+impl World {
+    pub(super) fn submit_fresh(&mut self) {
+        let gap = 1_000_000 / self.plan.rate;
+        let end = 3_000_000 + self.plan.seconds * 1_000_000;
+        if self.now.0 + gap < end {
+            let gap = self.random.random_range(gap / 2..gap * 3 / 2);
+            self.after(gap, Step::Submit);
+        }
+        self.next_job += 1;
+        let name = format!("{:016x}", self.next_job * 977);
+        let digits = self.next_job * 977;
+        let (tasks, ms) = [(8, 60), (2, 200), (2, 200), (4, 900)][(digits % 4) as usize];
+        let estimate = Span::from_millis(ms * self.random.random_range(60..140) / 100);
+        let objective = Span(estimate.0 * 8 / 5 + 60_000);
+        let job = Job {
+            name: name.into(),
+            spec: "x".into(),
+            tasks,
+            needs: needs(),
+            label: None,
+            per_executor: None,
+            estimate,
+            service: service(),
+            priority: 0,
+            max_failures: 4,
+            due: self.now + objective,
+            give_up: self.now + Span(objective.0 * 3),
+            first_run: 1,
+        };
+        self.submit(job);
+    }
+
+    pub(super) fn submit(&mut self, mut job: Job) {
+        let up: Vec<_> = (0..self.nodes.len())
+            .filter(|node| self.is_up(*node) && !self.nodes[*node].exited)
+            .collect();
+        if up.is_empty() || job.give_up.0 < self.now.0 {
+            return;
+        }
+        let node = up[self.random.random_range(0..up.len())];
+        job.first_run += self.next_job as u32 % 3;
+        let waiter = self.callers.len() as u64 + 1;
+        let caller = Caller { node, job: job.clone(), answered: false, left: false };
+        self.callers.insert(waiter, caller);
+        self.feed(node, Event::Submit { waiter: WaiterId(waiter), job });
+    }
+
+    pub(super) fn answer(&mut self, waiter: WaiterId, answer: Answer) {
+        let Some(caller) = self.callers.get_mut(&waiter.0) else { panic!("no such caller") };
+        if caller.left {
+            return;
+        }
+        assert!(!caller.answered, "a second answer");
+        caller.answered = true;
+        let frozen = self.nodes[caller.node].frozen_until.0 + 1_000_000 > self.now.0;
+        let job = caller.job.clone();
+        assert!(
+            frozen || self.now.0 <= job.give_up.0 + ANSWER_SLACK_US,
+            "{} is answered too late: {} after {}",
+            job.name,
+            self.now,
+            job.give_up
+        );
+        let name = match answer {
+            Answer::Completed => "completed",
+            Answer::Failed => "failed",
+            Answer::GivenUp => "given-up",
+            Answer::Refused { .. } => "refused",
+        };
+        *self.answers.entry(name).or_default() += 1;
+        match answer {
+            Answer::Completed => {
+                for index in 0..job.tasks {
+                    let key = (job.name.to_string(), index);
+                    assert!(self.done.contains(&key), "{key:?} is complete and has not run");
+                }
+            }
+            Answer::Refused { .. } => {
+                // A caller whose first try broke knows that it may have run.
+                if self.broken.contains(job.name.as_str()) {
+                    return;
+                }
+                let starts = self.started.get(job.name.as_str());
+                assert!(starts.is_none(), "{} is refused after {starts:?} starts", job.name);
+                self.refused.insert(job.name.to_string());
+            }
+            Answer::GivenUp | Answer::Failed => {}
+        }
+    }
+
+    /// A process is gone: its callers see a break and come again.
+    pub(super) fn lose(&mut self, node: usize) {
+        let mut again = Vec::new();
+        for caller in self.callers.values_mut() {
+            if caller.node == node && !caller.answered && !caller.left {
+                caller.left = true;
+                let mut job = caller.job.clone();
+                job.first_run += 20;
+                self.broken.insert(job.name.to_string());
+                again.push(job);
+            }
+        }
+        for mut job in again {
+            // Long patience, so that a second try meets what is left of the first one.
+            job.give_up = Time(self.now.0 + RESEND_US + 3_000_000);
+            self.after(RESEND_US, Step::Again(job));
+        }
+    }
+}
--- /dev/null
+++ b/components/runs/tests/common/world/faults.rs
@@ -0,0 +1,96 @@
+//! Faults: how they begin and end.
+
+use super::{Fault, PEER_IDLE_US, REGISTRATION_US, Step, World};
+use runs::Event;
+use site::{id::WaiterId, unit::Time};
+
+impl World {
+    pub(super) fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill { entry } => {
+                if self.nodes[entry].entry.take().is_none() {
+                    return;
+                }
+                let home = self.nodes[entry].home;
+                self.lose(entry);
+                for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+                    self.after(PEER_IDLE_US, Step::LinkDown(node, home));
+                }
+                self.links.retain(|(_, to)| *to != home);
+                self.after(REGISTRATION_US, Step::Lapse(entry, home.incarnation));
+                self.after(500_000, Step::Restart(entry));
+            }
+            Fault::Freeze { entry, ms } => {
+                let until = Time(self.now.0 + ms * 1_000);
+                self.nodes[entry].frozen_until = until;
+                if ms * 1_000 > PEER_IDLE_US {
+                    let home = self.nodes[entry].home;
+                    for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+                        self.after(PEER_IDLE_US, Step::LinkDown(node, home));
+                        let peer = self.nodes[node].home;
+                        self.at(until, Step::LinkDown(entry, peer));
+                        self.at(Time(until.0 + 50_000), Step::LinkUp(entry, node));
+                    }
+                }
+            }
+            Fault::Cut { entry, ms } => {
+                self.nodes[entry].cut_until = Time(self.now.0 + ms * 1_000);
+                if ms * 1_000 > PEER_IDLE_US {
+                    let home = self.nodes[entry].home;
+                    for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+                        let peer = self.nodes[node].home;
+                        self.after(PEER_IDLE_US, Step::LinkDown(node, home));
+                        self.after(PEER_IDLE_US, Step::LinkDown(entry, peer));
+                        self.after(ms * 1_000 + 50_000, Step::LinkUp(entry, node));
+                    }
+                }
+            }
+            Fault::Dark { executor, ms } => {
+                self.slots[executor].fake.dark_until = Time(self.now.0 + ms * 1_000);
+            }
+            Fault::Crash { executor } => {
+                let fake = &mut self.slots[executor].fake;
+                fake.up = false;
+                fake.running.clear();
+                self.after(500_000, Step::Revive(executor));
+            }
+            Fault::Fails { executor, ms } => {
+                self.slots[executor].fake.fails = true;
+                self.after(ms * 1_000, Step::Unfault(fault));
+            }
+            Fault::Slow { executor, ms, factor } => {
+                self.slots[executor].fake.factor = factor;
+                self.after(ms * 1_000, Step::Unfault(fault));
+            }
+            Fault::Leave { executor } => {
+                self.slots[executor].executor.leaving = true;
+                self.tell_executors();
+            }
+            Fault::Drain { entry } => self.feed(entry, Event::Drain),
+            Fault::GiveUp => self.give_up(),
+        }
+    }
+
+    pub(super) fn give_up(&mut self) {
+        let open: Vec<_> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| !caller.answered && !caller.left)
+            .map(|(waiter, caller)| (*waiter, caller.node))
+            .collect();
+        for (waiter, node) in open {
+            if let Some(caller) = self.callers.get_mut(&waiter) {
+                caller.left = true;
+            }
+            self.feed(node, Event::Leave { waiter: WaiterId(waiter) });
+        }
+    }
+
+    pub(super) fn unfault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Fails { executor, .. } => self.slots[executor].fake.fails = false,
+            Fault::Slow { executor, .. } => self.slots[executor].fake.factor = 1,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/components/runs/tests/common/world/orders.rs
@@ -0,0 +1,148 @@
+//! Orders on their way to executors, and what they do there.
+
+use super::{Arrival, ORDER_US, Order, Step, WAY_US, World, needs};
+use rand::Rng;
+use runs::{
+    Event,
+    executor::{Answered, Started},
+    job::Run,
+};
+use site::id::Incarnation;
+
+impl World {
+    pub(super) fn order(&mut self, node: usize, incarnation: Incarnation, order: Order) {
+        let now = self.now;
+        let id = match &order {
+            Order::Start(start) => start.executor,
+            Order::Stop { executor, .. } => *executor,
+            Order::Look(look, ..) => look.executor,
+        };
+        let slot = self.slots.iter().position(|slot| slot.executor.id == id);
+        let Some(slot) = slot.filter(|slot| self.slots[*slot].fake.up) else {
+            return self.reply(node, incarnation, gone(&order), WAY_US);
+        };
+        if self.slots[slot].fake.dark_until > now {
+            return self.reply(node, incarnation, silent(&order), ORDER_US);
+        }
+        let is_there = matches!(&order, Order::Look(.., Arrival::There));
+        let one_in = self.plan.lost_orders.filter(|_| !is_there);
+        let lost = one_in.is_some_and(|one_in| self.random.random_ratio(1, one_in));
+        if lost {
+            self.reply(node, incarnation, silent(&order), ORDER_US);
+            // Half of them are carried out seconds later, by nobody who waits.
+            if self.random.random_bool(0.5) {
+                let late = self.random.random_range(2_000_000..6_000_000);
+                self.after(late, Step::Order(node, Incarnation(u64::MAX), order));
+            } else if !matches!(order, Order::Look(..)) {
+                let event = self.carry_order(slot, &order);
+                drop(event);
+            }
+            return;
+        }
+        if let Order::Look(look, until, _) = &order
+            && *until > now
+            && !self.slots[slot].fake.has_news(look.acknowledged)
+        {
+            self.slots[slot].fake.settle(now);
+            if !self.slots[slot].fake.has_news(look.acknowledged) {
+                let order = Order::Look(*look, *until, Arrival::There);
+                return self.after(2_000, Step::Order(node, incarnation, order));
+            }
+        }
+        let event = self.carry_order(slot, &order);
+        self.reply(node, incarnation, event, WAY_US);
+    }
+
+    pub(super) fn carry_order(&mut self, slot: usize, order: &Order) -> Event {
+        let now = self.now;
+        match order {
+            Order::Start(start) => {
+                let length = self.length(&start.run);
+                let before = self.slots[slot].fake.running.contains_key(&start.run);
+                let reply = self.slots[slot].fake.start(now, start, needs(), length);
+                if matches!(reply, Started::Running { .. }) && !before {
+                    self.check_start(slot, &start.run);
+                }
+                Event::Started { executor: start.executor, run: start.run.clone(), reply }
+            }
+            Order::Stop { executor, run, token } => {
+                let reply = self.slots[slot].fake.stop(now, run, *token);
+                Event::Stopped { executor: *executor, run: run.clone(), reply }
+            }
+            Order::Look(look, ..) => {
+                let reply = self.slots[slot].fake.look(now, look);
+                if let Answered::Done(lists) = &reply {
+                    for ended in &lists.ended {
+                        if let Some(run) = &ended.run
+                            && ended.how == runs::executor::How::Done
+                        {
+                            self.done.insert((run.job.to_string(), run.index));
+                        }
+                    }
+                }
+                Event::Looked { executor: look.executor, number: look.number, reply }
+            }
+        }
+    }
+
+    pub(super) fn reply(&mut self, node: usize, incarnation: Incarnation, event: Event, us: u64) {
+        self.after(us, Step::Feed(node, incarnation, event));
+    }
+
+    /// How long a task takes, alike on each run.
+    pub(super) fn length(&self, run: &Run) -> u64 {
+        let digits = u64::from_str_radix(&run.job, 16).unwrap_or(0);
+        let base = [60_000, 200_000, 200_000, 900_000][(digits % 4) as usize];
+        base + base * (digits % 41) / 100
+    }
+
+    pub(super) fn check_start(&mut self, slot: usize, run: &Run) {
+        self.starts += 1;
+        let now = self.now;
+        for other in 0..self.slots.len() {
+            self.slots[other].fake.settle(now);
+            let fake = &self.slots[other].fake;
+            let twin = fake.running.keys().find(|there| {
+                there.job == run.job && there.index == run.index && (other != slot || *there != run)
+            });
+            assert!(
+                twin.is_none() || !fake.up,
+                "at {now}: {run} starts on {slot} while {twin:?} runs on {other}"
+            );
+        }
+        assert!(!self.refused.contains(run.job.as_str()), "{run} starts after a refusal");
+        *self.started.entry(run.job.to_string()).or_default() += 1;
+    }
+}
+
+fn gone(order: &Order) -> Event {
+    match order {
+        Order::Start(start) => Event::Started {
+            executor: start.executor,
+            run: start.run.clone(),
+            reply: Started::Gone,
+        },
+        Order::Stop { executor, run, .. } => {
+            Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Gone }
+        }
+        Order::Look(look, ..) => {
+            Event::Looked { executor: look.executor, number: look.number, reply: Answered::Gone }
+        }
+    }
+}
+
+fn silent(order: &Order) -> Event {
+    match order {
+        Order::Start(start) => Event::Started {
+            executor: start.executor,
+            run: start.run.clone(),
+            reply: Started::Unknown,
+        },
+        Order::Stop { executor, run, .. } => {
+            Event::Stopped { executor: *executor, run: run.clone(), reply: Answered::Silent }
+        }
+        Order::Look(look, ..) => {
+            Event::Looked { executor: look.executor, number: look.number, reply: Answered::Silent }
+        }
+    }
+}
