Wait for the lease of a run whose keeper was fenced

A run lapsed 0.9 s after its start, so its executor had gone over to an entry that neither stopped nor renewed it; its home started the task again 400 ms after the fence. Now 800 ms, above a lease of 700 ms on a clock 2% slow. Test a_run_at_a_fenced_executor_is_not_started_again_before_its_lease_is_over: 400 ms before. Mended besides: crates and tests that used the link's node without naming its message.

--- a/capacity/src/probe/connection.rs
+++ b/capacity/src/probe/connection.rs
@@ -39,8 +39,8 @@
 
 struct Peer {
     home: Home,
-    node: Node,
-    incoming: Receiver<Incoming>,
+    node: Node<Message>,
+    incoming: Receiver<Incoming<Message>>,
 }
 
 pub(super) fn measure(sink: &mut Sink<'_>) -> Result<(), Error> {
--- a/components/link/tests/trust.rs
+++ b/components/link/tests/trust.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Peer, home, identity, loopback, pair};
+use dispatch::Message;
 use link::{
     Code, Error, Node, Options,
     tls::{
@@ -60,7 +61,7 @@
 fn a_certificate_of_another_entry_does_not_start() {
     let authority = authority();
     let options = Options::new(home(1, 1), loopback(), identity(&authority, 2));
-    let refusal = Node::start(options).map(|_| ());
+    let refusal = Node::<Message>::start(options).map(|_| ());
     let expected = EntryId(1);
     assert!(matches!(refusal, Err(Error::Tls(tls::Error::Name { entry })) if entry == expected));
 }
@@ -71,7 +72,7 @@
     let issue = || authority.issue(EntryId(1), ENTRY_LIFETIME).expect("a certificate");
     let (one, other) = (issue(), issue());
     let mixed = Identity::from_pem(&authority.pair.certificate, &one.certificate, &other.key);
-    let refusal = Node::start(Options::new(home(1, 1), loopback(), mixed.expect("PEM")));
+    let refusal = Node::<Message>::start(Options::new(home(1, 1), loopback(), mixed.expect("PEM")));
     assert!(matches!(refusal.map(|_| ()), Err(Error::Tls(tls::Error::Pair(_)))));
 }
 
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -54,7 +54,9 @@
     /// keeper may miss the end of the connection, takes the home for lost by its silence then, and
     /// the lease lapses after that.
     pub lapse_wait: Span,
-    /// How long a home waits for a new keeper to stop what it does not know.
+    /// How long a home waits after its keeper of a task was fenced. The new keeper may neither know
+    /// the run nor stop it, so that it ends with its lease; some time for the way of the last
+    /// renewal is added.
     pub unsure_wait: Span,
     /// A task that was this long on its way to its keeper is not started: its home may have given
     /// it up, or may be gone. Several times the usual way of a few milliseconds.
@@ -91,7 +93,7 @@
             report_refresh: Span::from_millis(150),
             pause_limit: Span::from_millis(900),
             lapse_wait: Span::from_millis(1_250),
-            unsure_wait: Span::from_millis(400),
+            unsure_wait: Span::from_millis(800),
             stale_after: Span::from_millis(300),
         }
     }
--- a/components/runs/tests/membership.rs
+++ b/components/runs/tests/membership.rs
@@ -1,9 +1,13 @@
 //! When an entry begins to keep executors.
 
-use runs::{Action, Entry, Event, Executor, Options};
+use runs::{
+    Action, Entry, Event, Executor, Job, Options,
+    executor::{Answered, Lists, Started},
+    job::Run,
+};
 use site::{
-    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId},
-    unit::{Cores, Resources, Revision, Slots, Time},
+    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId, WaiterId},
+    unit::{Cores, Resources, Revision, Slots, Span, Time},
 };
 
 fn home(name: &str) -> Home {
@@ -65,3 +69,89 @@
     entry.handle(Time(20_000), Event::Executors(vec![executor()]), &mut out);
     assert!(!looks(&mut entry, 20_000).is_empty());
 }
+
+fn job(now: Time) -> Job {
+    Job {
+        name: "00000000000000aa".into(),
+        spec: "x".into(),
+        tasks: 1,
+        needs: Resources { slots: Slots(1), cores: Cores(1_000), ..Resources::default() },
+        label: None,
+        per_executor: None,
+        estimate: Span::from_millis(900),
+        service: ServiceId::of("service"),
+        priority: 0,
+        max_failures: 4,
+        due: now + Span::from_secs(3),
+        give_up: now + Span::from_secs(9),
+        first_run: 1,
+    }
+}
+
+/// Hands in what sound executors answer that run `running` for good. `fenced` looks are refused.
+fn answer(
+    entry: &mut Entry,
+    now: Time,
+    actions: Vec<Action>,
+    running: &mut Vec<(EndpointId, Run)>,
+    fenced: bool,
+) -> Vec<Action> {
+    let mut out = Vec::new();
+    for action in actions {
+        match action {
+            Action::Look(look) => {
+                let here = running.iter().filter(|(executor, _)| *executor == look.executor);
+                let lists = Lists {
+                    clock: now.0 / 1_000,
+                    running: here.map(|(_, run)| run.clone()).collect(),
+                    ended: Vec::new(),
+                };
+                let reply = if fenced { Answered::Fenced } else { Answered::Done(lists) };
+                let (executor, number) = (look.executor, look.number);
+                entry.handle(now, Event::Looked { executor, number, reply }, &mut out);
+            }
+            Action::Start(start) => {
+                let reply = Started::Running { clock: now.0 / 1_000 };
+                let (executor, run) = (start.executor, start.run);
+                running.push((executor, run.clone()));
+                entry.handle(now, Event::Started { executor, run, reply }, &mut out);
+            }
+            _ => {}
+        }
+    }
+    out
+}
+
+#[test]
+fn a_run_at_a_fenced_executor_is_not_started_again_before_its_lease_is_over() {
+    let me = home("entry-1");
+    let mut entry = Entry::new(me, Options::default(), Time(0));
+    let mut out = Vec::new();
+    let listed = Event::Members { revision: Revision(41), members: vec![me] };
+    entry.handle(Time(0), listed, &mut out);
+    let second = Executor { id: EndpointId::of("i-2"), name: "i-2".into(), ..executor() };
+    entry.handle(Time(0), Event::Executors(vec![executor(), second]), &mut out);
+    let mut started = Vec::new();
+    let mut running = Vec::new();
+    let mut fenced_at = None;
+    for step in 0..250 {
+        let now = Time(step * 10_000);
+        if step == 50 {
+            let submit = Event::Submit { waiter: WaiterId(1), job: job(now) };
+            entry.handle(now, submit, &mut out);
+        }
+        if step == 60 {
+            fenced_at = Some(now);
+        }
+        entry.handle(now, Event::Tick, &mut out);
+        let actions = std::mem::take(&mut out);
+        let starts = actions.iter().filter(|action| matches!(action, Action::Start(_))).count();
+        started.extend(std::iter::repeat_n(now, starts));
+        // From then on another entry holds both executors.
+        out = answer(&mut entry, now, actions, &mut running, (60..200).contains(&step));
+    }
+    let fenced_at = fenced_at.expect("the fence");
+    assert!(started.len() >= 2, "{started:?}");
+    let wait = started[1].since(fenced_at);
+    assert!(wait > Span::from_millis(714), "started again {wait} after the fence");
+}
