--- a/components/runs/src/job.rs
+++ b/components/runs/src/job.rs
@@ -27,7 +27,7 @@
     pub estimate: Span,
     /// The executors' service.
     pub service: ServiceId,
-    /// 0 is the most urgent.
+    /// 0 is the most urgent. Not part of the order of jobs yet, which follows their latest start.
     pub priority: u8,
     /// The job fails when one task has failed this often.
     pub max_failures: u16,
