--- a/components/runs/tests/common/mod.rs
+++ b/components/runs/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Entries, executors and callers in virtual time.
 
-#![allow(dead_code, reason = "each test uses a part of it")]
+#![allow(dead_code, unused_imports, reason = "each test uses a part of it")]
 
 pub(crate) mod world;
 
