Say which run has moved to another keeper

A home that had placed the next run already took the old run's new keeper for that of the next one, and an end of the old run counted for the next one: the task could be placed a third time beside the second. A run that moved after its job was answered was not stopped by anybody. Ruled out: dropping such messages; a home that waits for the end of a lost run has to learn that it lives on. Change: Moved carries the run's number. A run whose job is answered, or that a later one replaced, is cancelled at its new keeper; ends of earlier runs end nothing else.

--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -7,7 +7,7 @@
     home::Jobs,
     job::Task,
     keeper::Keeper,
-    message::{Ended, Report},
+    message::{Ended, Moved, Report},
     view::View,
 };
 use rustc_hash::FxHashMap;
@@ -176,10 +176,13 @@
             Message::Claim(executors) => self.keeper.hand_over(now, from, &executors, out),
             Message::Yield(yielded) => {
                 let moved = self.keeper.take_over(now, &self.view, yielded, out);
-                self.tell_moved(moved, out);
+                self.tell_moved(now, moved, out);
             }
             Message::Disclaim(executors) => self.keeper.disclaimed(now, from, &executors, out),
-            Message::Moved(tasks) => self.jobs.moved(from, &tasks),
+            Message::Moved(runs) => {
+                let own = self.jobs.moved(now, from, &runs, out);
+                self.keeper.cancel(now, &own, out);
+            }
             // Dealt with by the process, which reads the document.
             Message::Configuration { .. } => {}
         }
@@ -279,14 +282,15 @@
         out.extend(homes.into_iter().map(send));
     }
 
-    fn tell_moved(&mut self, tasks: Vec<Task>, out: &mut Vec<Action>) {
-        let mut homes: FxHashMap<Home, Vec<Task>> = FxHashMap::default();
-        for task in tasks {
-            homes.entry(task.job.home).or_default().push(task);
+    fn tell_moved(&mut self, now: Time, runs: Vec<Moved>, out: &mut Vec<Action>) {
+        let mut homes: FxHashMap<Home, Vec<Moved>> = FxHashMap::default();
+        for moved in runs {
+            homes.entry(moved.task.job.home).or_default().push(moved);
         }
         let own = homes.remove(&self.me).unwrap_or_default();
-        self.jobs.moved(self.me, &own);
-        let send = |(to, tasks)| Action::Send { to, message: Message::Moved(tasks) };
+        let unwanted = self.jobs.moved(now, self.me, &own, out);
+        self.keeper.cancel(now, &unwanted, out);
+        let send = |(to, runs)| Action::Send { to, message: Message::Moved(runs) };
         out.extend(homes.into_iter().map(send));
     }
 
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -10,7 +10,7 @@
     Action, Job, Message, Options,
     action::{Decision, Reason},
     job::{Answer, Key, Task},
-    message::{End, Ended},
+    message::{End, Ended, Moved},
 };
 use job::{Open, State};
 use rustc_hash::FxHashMap;
@@ -90,7 +90,8 @@
         let Some(task) = open.tasks.get_mut(usize::from(ended.task.index)) else {
             return Vec::new();
         };
-        if task.state != (State::Placed { keeper: from }) {
+        // A keeper may still have an earlier run than the one that was placed there.
+        if task.state != (State::Placed { keeper: from }) || ended.run < task.run {
             return Vec::new();
         }
         task.run = task.run.max(ended.run + 1);
@@ -130,15 +131,43 @@
         }
     }
 
-    /// Another keeper now has these tasks' runs.
-    pub(crate) fn moved(&mut self, to: Home, tasks: &[Task]) {
-        for task in tasks {
-            let open = self.open.get_mut(&task.job.number);
-            let entry = open.and_then(|open| open.tasks.get_mut(usize::from(task.index)));
-            if let Some(entry) = entry
-                && entry.state != State::Done
-            {
-                entry.state = State::Placed { keeper: to };
+    /// Another keeper now has these runs. Those that nobody waits for any more are cancelled there;
+    /// returns the ones at this entry's own executors.
+    pub(crate) fn moved(
+        &mut self,
+        now: Time,
+        to: Home,
+        runs: &[Moved],
+        out: &mut Vec<Action>,
+    ) -> Vec<Task> {
+        let unwanted = |moved: &&Moved| !self.follow(now, to, moved);
+        let tasks: Vec<_> = runs.iter().filter(unwanted).map(|moved| moved.task).collect();
+        if to == self.me || tasks.is_empty() {
+            return tasks;
+        }
+        out.push(Action::Send { to, message: Message::Cancel(tasks) });
+        Vec::new()
+    }
+
+    /// Notes the new keeper of a run; returns whether the run is still wanted there.
+    fn follow(&mut self, now: Time, to: Home, moved: &Moved) -> bool {
+        let stop_by = now + self.options.unsure_wait;
+        let open = self.open.get_mut(&moved.task.job.number);
+        let task = open.and_then(|open| open.tasks.get_mut(usize::from(moved.task.index)));
+        let Some(task) = task else { return false };
+        match task.state {
+            State::Done => false,
+            // The next run has a keeper already, which may be this one.
+            State::Placed { keeper } if moved.run < task.run => keeper == to,
+            // Runs after it were placed already, so that its number must not count again.
+            State::Waiting { from } if moved.run + 1 < task.run => {
+                task.state = State::Waiting { from: from.max(stop_by) };
+                false
+            }
+            State::Placed { .. } | State::Waiting { .. } => {
+                task.state = State::Placed { keeper: to };
+                task.run = moved.run;
+                true
             }
         }
     }
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -12,8 +12,8 @@
 use crate::{
     Action, Executor, Message, Options,
     action::{Decision, Ending, KeepChange},
-    job::{Run, Task},
-    message::{self, End, Placement, Room, Yield, Yielded},
+    job::Run,
+    message::{self, End, Moved, Placement, Room, Yield, Yielded},
     view::View,
 };
 use health::Monitor;
@@ -181,14 +181,14 @@
         }
     }
 
-    /// Takes over what a former keeper knew of an executor. Returns the tasks that it had there.
+    /// Takes over what a former keeper knew of an executor. Returns the runs that it had there.
     pub(crate) fn take_over(
         &mut self,
         now: Time,
         view: &View,
         yielded: Yield,
         out: &mut Vec<Action>,
-    ) -> Vec<Task> {
+    ) -> Vec<Moved> {
         let Some(lease) = self.leases.get_mut(&yielded.executor) else { return Vec::new() };
         if !matches!(lease.phase, Phase::Claiming { .. } | Phase::Looking) {
             return Vec::new();
@@ -208,8 +208,8 @@
                 stop: None,
             };
             self.health.may_use(now, yielded.executor);
+            moved.push(Moved { task: entry.task, run: entry.run.number });
             lease.insert(entry.run, live);
-            moved.push(entry.task);
         }
         if matches!(lease.phase, Phase::Claiming { .. }) {
             self.begin_look(now, yielded.executor, out);
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -28,7 +28,7 @@
     /// The sender does not keep these executors, which the receiver has claimed.
     Disclaim(Vec<EndpointId>),
     /// The sender is now the keeper of these tasks' runs.
-    Moved(Vec<Task>),
+    Moved(Vec<Moved>),
     /// The operator's newest configuration, for entries that can't reach the platform's store.
     Configuration {
         /// Its version.
@@ -91,6 +91,15 @@
     pub end: End,
 }
 
+/// A run that has another keeper now.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Moved {
+    /// Its task.
+    pub task: Task,
+    /// Its number.
+    pub run: u32,
+}
+
 /// How a keeper's work on a task ended. Nothing of the task runs any more, except where it says
 /// so.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
