--- a/capacity/src/error.rs
+++ b/capacity/src/error.rs
@@ -26,7 +26,7 @@
     Tls(link::tls::Error),
     /// The interface can't listen.
     #[display("{_0}")]
-    Server(server::server::BindError),
+    Server(server::listen::BindError),
     /// The log can't be started.
     #[display("{_0}")]
     Log(telemetry::LogError),
--- a/components/entry/src/process.rs
+++ b/components/entry/src/process.rs
@@ -65,7 +65,7 @@
     Link(link::Error),
     /// The address for callers can't be used.
     #[display("{_0}")]
-    Server(server::server::BindError),
+    Server(server::listen::BindError),
 }
 
 /// A running entry.
--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -8,6 +8,7 @@
     Action, Entry, Event, Executor, Job, Message, Options,
     action::{Look, Start},
     entry::TICK,
+    executor::{Answered, Started},
     job::{Answer, Run},
 };
 use rustc_hash::FxHashMap;
@@ -190,11 +191,18 @@
 
     fn carry_out(self: &Arc<Self>, core: &mut Core, now: Time, action: Action) {
         match action {
-            Action::Start(start) => self.start(core.executors.get(&start.executor).cloned(), start),
-            Action::Stop { executor, run, token } => {
-                self.stop(core.executors.get(&executor).cloned(), executor, run, token);
+            Action::Start(start) => {
+                let executor = core.executors.get(&start.executor).cloned();
+                self.spawn(self.clone().start(executor, start));
+            }
+            Action::Stop { executor: id, run, token } => {
+                let executor = core.executors.get(&id).cloned();
+                self.spawn(self.clone().stop(executor, id, run, token));
+            }
+            Action::Look(look) => {
+                let executor = core.executors.get(&look.executor).cloned();
+                self.spawn(self.clone().look(executor, look));
             }
-            Action::Look(look) => self.look(core.executors.get(&look.executor).cloned(), look),
             Action::Answer { waiter, answer } => {
                 if let Some(entry) = core.waiters.remove(&waiter) {
                     self.metrics.answered(answer, now.since(entry.since));
@@ -222,51 +230,45 @@
         }
     }
 
-    fn start(self: &Arc<Self>, executor: Option<Arc<Executor>>, start: Start) {
+    /// Carries an order out beside all else, and hands in what came of it.
+    fn spawn(self: &Arc<Self>, order: impl Future<Output = Event> + Send + 'static) {
         let engine = self.clone();
-        smol::spawn(async move {
-            let reply = match &executor {
-                Some(executor) => engine.orders.start(executor, &start).await,
-                None => runs::executor::Started::Unsent,
-            };
-            engine.metrics.started(&reply);
-            let Start { executor, run, .. } = start;
-            engine.feed(Event::Started { executor, run, reply });
-        })
-        .detach();
+        smol::spawn(async move { engine.feed(order.await) }).detach();
     }
 
-    fn stop(
-        self: &Arc<Self>,
+    async fn start(self: Arc<Self>, executor: Option<Arc<Executor>>, start: Start) -> Event {
+        let reply = match &executor {
+            Some(executor) => self.orders.start(executor, &start).await,
+            None => Started::Unsent,
+        };
+        self.metrics.started(&reply);
+        let Start { executor, run, .. } = start;
+        Event::Started { executor, run, reply }
+    }
+
+    async fn stop(
+        self: Arc<Self>,
         executor: Option<Arc<Executor>>,
         id: EndpointId,
         run: Run,
         token: u64,
-    ) {
-        let engine = self.clone();
-        smol::spawn(async move {
-            let reply = match &executor {
-                Some(executor) => engine.orders.stop(executor, &run, token).await,
-                None => runs::executor::Answered::Silent,
-            };
-            engine.metrics.stopped(&reply);
-            engine.feed(Event::Stopped { executor: id, run, reply });
-        })
-        .detach();
+    ) -> Event {
+        let reply = match &executor {
+            Some(executor) => self.orders.stop(executor, &run, token).await,
+            None => Answered::Silent,
+        };
+        self.metrics.stopped(&reply);
+        Event::Stopped { executor: id, run, reply }
     }
 
-    fn look(self: &Arc<Self>, executor: Option<Arc<Executor>>, look: Look) {
-        let engine = self.clone();
-        smol::spawn(async move {
-            let reply = match &executor {
-                Some(executor) => engine.orders.look(executor, &look).await,
-                None => runs::executor::Answered::Silent,
-            };
-            engine.metrics.looked(&reply);
-            let Look { executor, number, .. } = look;
-            engine.feed(Event::Looked { executor, number, reply });
-        })
-        .detach();
+    async fn look(self: Arc<Self>, executor: Option<Arc<Executor>>, look: Look) -> Event {
+        let reply = match &executor {
+            Some(executor) => self.orders.look(executor, &look).await,
+            None => Answered::Silent,
+        };
+        self.metrics.looked(&reply);
+        let Look { executor, number, .. } = look;
+        Event::Looked { executor, number, reply }
     }
 }
 
--- a/components/server/src/lib.rs
+++ b/components/server/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod header;
 pub mod job;
 pub mod key;
+pub mod listen;
 pub mod options;
 pub mod problem;
 pub mod rejection;
