Log the caller's id of each request, and explain by it

Cause: logs named the job only; what a user holds is the id of the request, and a job that is handed in again has several.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -161,9 +161,13 @@
 
 impl Cause {
     pub(crate) fn of(story: &Story) -> Self {
-        let lines = story.lines();
-        let last = |what: &str| lines.iter().rev().find(|line| line.what == what).copied();
+        let own = story.of_request();
+        let last = |what: &str| own.iter().rev().find(|line| line.what == what).copied();
         if let Some(line) = last("answer") {
+            // What happened before the request came in belongs to earlier ones.
+            let since = last("admit").map_or(0, |line| line.time_ms);
+            let lines: Vec<_> =
+                story.lines().into_iter().filter(|line| line.time_ms >= since).collect();
             return answered(story, &lines, line);
         }
         if last("left").is_some() {
@@ -172,7 +176,7 @@
         if let Some(line) = last("admit") {
             return unanswered(story, line);
         }
-        let turned_away = lines.iter().find(|line| line.what.contains("turned away"));
+        let turned_away = own.iter().find(|line| line.what.contains("turned away"));
         match turned_away {
             Some(line) => {
                 let error = line.text("error");
--- a/components/explain/src/line.rs
+++ b/components/explain/src/line.rs
@@ -62,6 +62,14 @@
         is_job("job") || is_run || is_path
     }
 
+    /// The job that the line names, if it is about a request.
+    pub(crate) fn job(&self) -> &str {
+        match self.text("job") {
+            "" => self.text("path").rsplit('/').next().unwrap_or_default(),
+            job => job,
+        }
+    }
+
     /// A field's text, or an empty one.
     pub fn text(&self, field: &str) -> &str {
         self.fields.get(field).and_then(Value::as_str).unwrap_or_default()
--- a/components/explain/src/story.rs
+++ b/components/explain/src/story.rs
@@ -8,6 +8,8 @@
 #[derive(Clone, Debug)]
 pub struct Story {
     job: CompactString,
+    /// The request of the job that is asked about; the latest one if none.
+    request: Option<CompactString>,
     /// Lines about the job.
     lines: Vec<Line>,
     /// Lines about the start, the stop or a pause of processes, and about which executors they
@@ -18,7 +20,22 @@
 impl Story {
     /// A story without lines.
     pub fn new(job: &str) -> Self {
-        Self { job: job.into(), lines: Vec::new(), around: Vec::new() }
+        Self { job: job.into(), request: None, lines: Vec::new(), around: Vec::new() }
+    }
+
+    /// The story of a job by its name, or by the id of a request that handed it in.
+    pub fn find(id: &str, log: &str) -> Self {
+        let by_request = log
+            .lines()
+            .filter(|text| text.contains(id))
+            .filter_map(Line::parse)
+            .find(|line| line.text("request") == id);
+        let mut story = match by_request {
+            Some(line) => Self { request: Some(id.into()), ..Self::new(line.job()) },
+            None => Self::new(id),
+        };
+        log.lines().for_each(|text| story.add(text));
+        story
     }
 
     /// Takes in a line of a log.
@@ -38,7 +55,16 @@
         lines
     }
 
-    /// Why the job ended as it did.
+    /// The lines that tell how the request came in and was answered.
+    pub(crate) fn of_request(&self) -> Vec<&Line> {
+        let matches = |line: &&Line| match &self.request {
+            Some(request) => line.text("request") == request,
+            None => true,
+        };
+        self.lines().into_iter().filter(matches).collect()
+    }
+
+    /// Why the request ended as it did.
     pub fn cause(&self) -> Cause {
         Cause::of(self)
     }
--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -135,3 +135,34 @@
         )
     );
 }
+
+const FIRST: &str = r#"{"time_ms":1000,"node":"entry-1","decision":"admit","job":"JOB","request":"a1","tasks":4,"waiting":0}"#;
+const SECOND: &str = r#"{"time_ms":2500,"node":"entry-2","decision":"admit","job":"JOB","request":"a2","tasks":4,"waiting":0}"#;
+
+fn found(id: &str, lines: &[&str]) -> String {
+    Story::find(id, &lines.join("\n").replace("JOB", JOB)).cause().to_string()
+}
+
+#[test]
+fn a_request_is_told_from_the_next_one_for_the_same_job() {
+    let stop = r#"{"time_ms":1350,"node":"entry-2","decision":"stop-run","run":"JOB.0.0.1#1","executor":"i-7","why":"overdue"}"#;
+    let given_up = r#"{"time_ms":1500,"node":"entry-1","decision":"answer","job":"JOB","request":"a1","answer":"given-up","why":"out-of-time","after":"500ms","waited":"1ms","late_by":"200ms","waiting":0,"room":3}"#;
+    let refused = r#"{"time_ms":2900,"node":"entry-2","decision":"answer","job":"JOB","request":"a2","answer":"refused","why":"no-room-in-time","after":"400ms","waited":"400ms","late_by":"300ms","waiting":12,"room":0}"#;
+    let log = [FIRST, stop, given_up, SECOND, refused];
+    assert!(found("a1", &log).starts_with("given up after it began: run"));
+    assert!(found("a2", &log).starts_with("refused, it has not run"));
+    assert_eq!(found(JOB, &log), found("a2", &log));
+    assert_eq!(found("a3", &log), Cause::Unknown.to_string());
+}
+
+#[test]
+fn a_request_that_was_turned_away_is_told_by_its_id() {
+    let line = r#"{"timestamp":"2026-12-02T20:39:42.481561Z","level":"INFO","fields":{"message":"a request was turned away: the process stops too soon","path":"JOB","request":"a1"}}"#;
+    let answer = r#"{"time_ms":2900,"node":"entry-2","decision":"answer","job":"JOB","request":"a2","answer":"completed","why":"all-done","after":"40ms","waited":"0s","late_by":"0s","waiting":0,"room":0}"#;
+    let log = [line, SECOND, answer];
+    assert_eq!(
+        found("a1", &log),
+        "turned away by : a request was turned away: the process stops too soon; it has not run"
+    );
+    assert_eq!(found("a2", &log), "completed in time");
+}
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -91,6 +91,8 @@
     Admit {
         /// The caller's name of the job.
         job: CompactString,
+        /// The caller's id of the request.
+        request: CompactString,
         /// Its tasks.
         tasks: u16,
         /// Its estimate for one task.
@@ -175,6 +177,8 @@
     Answer {
         /// The caller's name of the job.
         job: CompactString,
+        /// The caller's id of the request.
+        request: CompactString,
         /// The answer.
         answer: &'static str,
         /// Why.
@@ -194,6 +198,8 @@
     Left {
         /// The caller's name of the job.
         job: CompactString,
+        /// The caller's id of the request.
+        request: CompactString,
         /// Tasks that had been sent to keepers.
         placed: usize,
     },
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -57,6 +57,7 @@
         let key = Key { home: self.me, number: self.next };
         out.push(Action::Log(Decision::Admit {
             job: job.name.clone(),
+            request: job.request.clone(),
             tasks: job.tasks,
             estimate: job.estimate,
             due_in: job.due.since(now),
@@ -74,7 +75,8 @@
             return Vec::new();
         };
         let placed = open.placed().count();
-        out.push(Action::Log(Decision::Left { job: open.job.name.clone(), placed }));
+        let (job, request) = (open.job.name.clone(), open.job.request.clone());
+        out.push(Action::Log(Decision::Left { job, request, placed }));
         self.cancel_placed(&open, out)
     }
 
@@ -225,6 +227,7 @@
         let cores = open.job.needs.cores.0;
         out.push(Action::Log(Decision::Answer {
             job: open.job.name.clone(),
+            request: open.job.request.clone(),
             answer: name,
             why,
             after: now.since(open.arrived),
--- a/components/runs/src/job.rs
+++ b/components/runs/src/job.rs
@@ -13,6 +13,9 @@
 pub struct Job {
     /// Chosen by the caller. The same name after a lost answer is the same job.
     pub name: CompactString,
+    /// The caller's id of this request, for the log; empty if it has none. A job that is handed in
+    /// again comes with another.
+    pub request: CompactString,
     /// What its tasks do, as the caller wrote it.
     pub spec: Arc<str>,
     /// How many tasks it has; at least one.
--- a/components/runs/tests/common/world/callers.rs
+++ b/components/runs/tests/common/world/callers.rs
@@ -24,6 +24,7 @@
         let objective = Span(estimate.0 * 8 / 5 + 60_000);
         let job = Job {
             name: name.into(),
+            request: "".into(),
             spec: "x".into(),
             tasks,
             needs: needs(),
--- a/components/runs/tests/membership.rs
+++ b/components/runs/tests/membership.rs
@@ -73,6 +73,7 @@
 fn job(now: Time) -> Job {
     Job {
         name: "00000000000000aa".into(),
+        request: "".into(),
         spec: "x".into(),
         tasks: 1,
         needs: Resources { slots: Slots(1), cores: Cores(1_000), ..Resources::default() },
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -118,7 +118,7 @@
 /// Arguments of `explain`.
 #[derive(Debug, Args)]
 pub(crate) struct Explain {
-    /// The caller's name of the job.
+    /// The caller's name of the job, or its id of a request.
     pub(crate) job: CompactString,
     /// Logs; standard input if there are none.
     pub(crate) logs: Vec<PathBuf>,
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -8,30 +8,28 @@
 use explain::{Cause, Story};
 use std::{
     fs::File,
-    io::{self, BufRead, BufReader},
+    io::{self, Read},
 };
 
 /// Prints what logs say of a job, and the cause of its end.
 pub(crate) fn run(args: &Explain, console: &Console) -> Result<Exit, Error> {
-    let mut story = Story::new(&args.job);
+    let mut log = Vec::new();
     if args.logs.is_empty() {
-        read(io::stdin().lock(), &mut story)
+        io::stdin()
+            .lock()
+            .read_to_end(&mut log)
             .map_err(|source| Error::File { path: "-".into(), source })?;
     }
     for path in &args.logs {
-        let file = File::open(path).and_then(|file| read(BufReader::new(file), &mut story));
+        let read = File::open(path).and_then(|mut file| file.read_to_end(&mut log));
         let path = path.to_string_lossy().into();
-        file.map_err(|source| Error::File { path, source })?;
+        read.map_err(|source| Error::File { path, source })?;
+        // A file may end within a line.
+        log.push(b'\n');
     }
+    let story = Story::find(&args.job, &String::from_utf8_lossy(&log));
     story.lines().iter().for_each(|line| console.print(&line.to_string()));
     let cause = story.cause();
     console.print(&format!("cause: {cause}"));
     Ok(if cause == Cause::Unknown { Exit::Failed } else { Exit::Done })
 }
-
-fn read(lines: impl BufRead, story: &mut Story) -> io::Result<()> {
-    for line in lines.split(b'\n') {
-        story.add(&String::from_utf8_lossy(&line?));
-    }
-    Ok(())
-}
