Wait for the former keeper's lease at an executor that was handed over

All three cases looked at show this order of lines: start by the former keeper, run-ended lease-over by the new one 80 to 280 ms later, stop-run unknown. Change: what a former keeper had may run until its lease, which it ceased to prolong at the handover, is over by the slowest clock.

--- a/components/runs/src/clock.rs
+++ b/components/runs/src/clock.rs
@@ -8,6 +8,12 @@
 /// A time on an executor's steady clock, in its own milliseconds.
 pub type Remote = u64;
 
+/// How long a span on another clock may last on the own one.
+pub(crate) fn longest(span: Span) -> Span {
+    let per_mille = 1_000 - SLOWEST_PER_MILLE;
+    Span((span.0 * 1_000).div_ceil(per_mille))
+}
+
 /// What is known of an executor's clock: one reading, and when it arrived here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Clock {
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -3,7 +3,7 @@
 use crate::{
     Executor,
     action::StopCause,
-    clock::{Clock, Remote},
+    clock::{self, Clock, Remote},
     job::{Run, Task},
 };
 use rustc_hash::FxHashMap;
@@ -25,6 +25,8 @@
     /// The latest deadline that was sent, on the executor's clock. Whatever runs there is over
     /// once its clock has passed it.
     pub(crate) deadline: Remote,
+    /// What a former keeper started there may run until then, by this entry's clock.
+    pub(crate) inherited_until: Time,
     pub(crate) runs: FxHashMap<Run, Live>,
     /// The sum of what `runs` occupy.
     pub(crate) used: Resources,
@@ -137,6 +139,7 @@
             tries: 0,
             clock: None,
             deadline: 0,
+            inherited_until: Time(0),
             runs: FxHashMap::default(),
             used: Resources::default(),
             acknowledged: 0,
@@ -183,7 +186,13 @@
 
     /// Whether nothing that was started there can run any more, whatever the executor does.
     pub(crate) fn has_lapsed(&self, now: Time) -> bool {
-        self.clock.is_none_or(|clock| clock.least(now) > self.deadline)
+        now > self.inherited_until
+            && self.clock.is_none_or(|clock| clock.least(now) > self.deadline)
+    }
+
+    /// Notes that a former keeper has just ceased to prolong its lease, which lasted `span`.
+    pub(crate) fn inherit(&mut self, now: Time, span: Span) {
+        self.inherited_until = now + clock::longest(span);
     }
 
     pub(crate) fn read_clock(&mut self, reading: Remote, now: Time) {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -195,6 +195,7 @@
         }
         lease.token = lease.token.max(view.token_above(yielded.token));
         lease.acknowledged = lease.acknowledged.max(yielded.acknowledged);
+        lease.inherit(now, self.options.lease);
         let mut moved = Vec::new();
         for entry in yielded.runs {
             let live = Live {
--- a/components/runs/tests/membership.rs
+++ b/components/runs/tests/membership.rs
@@ -1,9 +1,10 @@
 //! When an entry begins to keep executors.
 
 use runs::{
-    Action, Entry, Event, Executor, Job, Options,
+    Action, Entry, Event, Executor, Job, Message, Options,
     executor::{Answered, Lists, Started},
-    job::Run,
+    job::{Key, Run, Task},
+    message::{Ended, Report, Yield, Yielded},
 };
 use site::{
     id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId, WaiterId},
@@ -156,3 +157,67 @@
     let wait = started[1].since(fenced_at);
     assert!(wait > Span::from_millis(714), "started again {wait} after the fence");
 }
+
+/// What an entry that claims `executor()` is told by the entry that kept it.
+fn yielded(home: Home) -> Yield {
+    let task = Task { job: Key { home, number: 1 }, index: 0 };
+    let run = Run { job: "00000000000000aa".into(), index: 0, number: 1 };
+    let needs = Resources { slots: Slots(1), cores: Cores(1_000), ..Resources::default() };
+    let running = Yielded {
+        run,
+        task,
+        needs,
+        estimate: Span::from_millis(900),
+        running_for: Span::from_millis(80),
+        give_up_in: Span::from_secs(9),
+    };
+    Yield { executor: executor().id, token: 41 << 24, acknowledged: 0, runs: vec![running] }
+}
+
+/// The first end that the entry tells a home of.
+fn told_end(actions: &[Action]) -> Option<Ended> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { message: Message::Ended(ended), .. } => ended.first().copied(),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_run_at_a_silent_executor_that_was_handed_over_is_not_over_before_its_lease_is() {
+    let (me, former) = (home("entry-1"), home("entry-2"));
+    let mut entry = Entry::new(me, Options::default(), Time(0));
+    let mut out = Vec::new();
+    let listed = Event::Members { revision: Revision(42), members: vec![me, former] };
+    entry.handle(Time(0), listed, &mut out);
+    entry.handle(Time(0), Event::Executors(vec![executor()]), &mut out);
+    entry.handle(Time(0), Event::PeerUp { peer: former }, &mut out);
+    let mut yielded_at = None;
+    for step in 1..400 {
+        let now = Time(step * 5_000);
+        let report = Report { sent: now, leaving: true, ..Report::default() };
+        let alive = Event::Message { from: former, message: Message::Report(report) };
+        entry.handle(now, alive, &mut out);
+        entry.handle(now, Event::Tick, &mut out);
+        if let (Some(ended), Some(at)) = (told_end(&out), yielded_at) {
+            let after = now.since(at);
+            assert!(after > Span::from_millis(714), "told {ended:?} {after} after the handover");
+            return;
+        }
+        for action in std::mem::take(&mut out) {
+            match action {
+                Action::Send { message: Message::Claim(_), .. } if yielded_at.is_none() => {
+                    yielded_at = Some(now);
+                    let message = Message::Yield(yielded(former));
+                    entry.handle(now, Event::Message { from: former, message }, &mut out);
+                }
+                Action::Look(look) => {
+                    let (executor, number) = (look.executor, look.number);
+                    let reply = Answered::Silent;
+                    entry.handle(now, Event::Looked { executor, number, reply }, &mut out);
+                }
+                _ => {}
+            }
+        }
+    }
+    panic!("the run's end was never told");
+}
