--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -3,6 +3,7 @@
 use crate::{Line, Story};
 use compact_str::CompactString;
 use derive_more::Display;
+use std::collections::BTreeMap;
 
 /// Why a job ended as it did.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -120,6 +121,25 @@
     /// A keeper lost its tasks.
     #[display("tasks were at an entry that was lost")]
     KeeperLost,
+    /// A keeper handed a task back again and again.
+    #[display("task {index} was handed back {times} times, since its keepers had no room for it")]
+    HandedBack {
+        /// Which.
+        index: u64,
+        /// How often.
+        times: usize,
+    },
+    /// Too little of its time was left when it came.
+    #[display(
+        "it came {due_in} before it was late, and a task takes {estimate}: an earlier request for it \
+         took the time"
+    )]
+    CameLate {
+        /// What was left.
+        due_in: CompactString,
+        /// How long a task was to take.
+        estimate: CompactString,
+    },
     /// It waited for room.
     #[display("it waited {waited} for room")]
     Room {
@@ -159,6 +179,9 @@
 /// A wait at a keeper below this explains no delay.
 const LONG_WAIT_MS: f64 = 20.0;
 
+/// A task that was handed back less often explains no delay: each time takes about 25 ms.
+const HANDED_BACK_OFTEN: usize = 3;
+
 impl Cause {
     pub(crate) fn of(story: &Story) -> Self {
         let own = story.of_request();
@@ -189,7 +212,6 @@
 }
 
 fn answered(story: &Story, lines: &[&Line], line: &Line) -> Cause {
-    let waited = CompactString::from(line.text("waited"));
     match (line.text("answer"), line.text("why")) {
         ("completed", _) if line.text("late_by") == "0s" => Cause::InTime,
         ("completed", _) => {
@@ -200,9 +222,12 @@
             let text = |field| first(lines, "admit").map_or("", |line| line.text(field)).into();
             Cause::TooLate { give_up_in: text("give_up_in"), estimate: text("estimate") }
         }
-        ("refused", _) => {
-            Cause::NoRoom { waited, waiting: line.number("waiting"), room: line.number("room") }
-        }
+        // Keepers may have had it and handed it back: nothing started until the answer.
+        ("refused", _) => Cause::NoRoom {
+            waited: line.text("after").into(),
+            waiting: line.number("waiting"),
+            room: line.number("room"),
+        },
         ("failed", _) => {
             let failed = lines.iter().rev().find(|line| line.text("end") == "failed");
             Cause::Failed {
@@ -235,6 +260,9 @@
             how: describe(story, line),
         };
     }
+    if let Some(delay) = came_late(lines).or_else(|| handed_back(lines)) {
+        return delay;
+    }
     let waits = lines
         .iter()
         .filter(|line| line.what == "start")
@@ -252,6 +280,24 @@
     }
 }
 
+/// Whether too little of a job's time was left when it came to end even the quickest way.
+fn came_late(lines: &[&Line]) -> Option<Delay> {
+    let admit = first(lines, "admit")?;
+    let (due_in, estimate) = (admit.text("due_in"), admit.text("estimate"));
+    let is_late = !due_in.is_empty() && millis(due_in) < millis(estimate);
+    is_late.then(|| Delay::CameLate { due_in: due_in.into(), estimate: estimate.into() })
+}
+
+/// The task that was handed back most often, if that was often.
+fn handed_back(lines: &[&Line]) -> Option<Delay> {
+    let mut times: BTreeMap<u64, usize> = BTreeMap::new();
+    for line in lines.iter().filter(|line| line.text("end") == "not-run") {
+        *times.entry(line.number("index")).or_default() += 1;
+    }
+    let (index, times) = times.into_iter().max_by_key(|(_, times)| *times)?;
+    (times >= HANDED_BACK_OFTEN).then_some(Delay::HandedBack { index, times })
+}
+
 /// A run that was stopped only because its job had its answer.
 fn unended_run(story: &Story, line: &Line) -> Delay {
     let executor = line.text("executor");
--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -166,3 +166,24 @@
     );
     assert_eq!(found("a2", &log), "completed in time");
 }
+
+#[test]
+fn a_task_that_found_no_room_is_told() {
+    let back = r#"{"time_ms":1030,"node":"entry-1","decision":"task-ended","job":"JOB","index":2,"run":1,"end":"not-run","failures":0,"again":true}"#;
+    let answer = r#"{"time_ms":1800,"node":"entry-1","decision":"answer","job":"JOB","answer":"given-up","why":"lost-too-late","after":"800ms","waited":"30ms","late_by":"400ms","waiting":5,"room":0}"#;
+    assert_eq!(
+        cause(&[ADMIT, PLACE, START, back, back, back, answer]),
+        "given up after it began: task 2 was handed back 3 times, since its keepers had no room for it"
+    );
+}
+
+#[test]
+fn a_job_whose_earlier_request_took_the_time_is_told() {
+    let admit = r#"{"time_ms":1000,"node":"entry-1","decision":"admit","job":"JOB","request":"a2","tasks":2,"estimate":"147ms","due_in":"5193us","give_up_in":"1204993us","waiting":0}"#;
+    let answer = r#"{"time_ms":1162,"node":"entry-1","decision":"answer","job":"JOB","request":"a2","answer":"completed","why":"all-done","after":"162ms","waited":"0s","late_by":"157ms","waiting":0,"room":74}"#;
+    assert_eq!(
+        cause(&[admit, PLACE, START, answer]),
+        "completed 157ms late: it came 5193us before it was late, and a task takes 147ms: an earlier \
+         request for it took the time"
+    );
+}
