--- a/components/link/src/node/dial.rs
+++ b/components/link/src/node/dial.rs
@@ -38,12 +38,8 @@
     let options = &inner.options;
     let mut backoff = Backoff::new(options.min_backoff, options.max_backoff);
     loop {
-        let known = || inner.table.of_entry(entry).into_iter().next();
-        if options.home.entry > entry && known().is_none() {
-            Timer::after(options.dial_delay).await;
-        }
         let target = *address.lock();
-        let session = match known() {
+        let session = match inner.table.of_entry(entry).into_iter().next() {
             Some(session) => Some(session),
             None => attempt(&inner, entry, target).await,
         };
--- a/components/link/src/options.rs
+++ b/components/link/src/options.rs
@@ -37,11 +37,6 @@
     pub keep_alive: Duration,
     /// Time for the handshake and the hello.
     pub handshake_timeout: Duration,
-    /// Time that this end gives one with a smaller home to connect before it does so itself. Both
-    /// dial each other when an entry starts; the second connection replaced the first, which was
-    /// then lost with the messages on it: 71 times on a day of 8 restarts of 8 entries. Several
-    /// times a handshake between busy entries.
-    pub dial_delay: Duration,
     /// First pause between two attempts to connect; doubles up to `max_backoff`, with jitter.
     pub min_backoff: Duration,
     /// Longest pause between two attempts to connect.
@@ -66,7 +61,6 @@
             idle_timeout: Duration::from_secs(2),
             keep_alive: Duration::from_millis(600),
             handshake_timeout: Duration::from_secs(2),
-            dial_delay: Duration::from_millis(150),
             min_backoff: Duration::from_millis(50),
             max_backoff: Duration::from_secs(2),
             close_timeout: Duration::from_secs(1),
