--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -179,8 +179,8 @@
 /// A wait at a keeper below this explains no delay.
 const LONG_WAIT_MS: f64 = 20.0;
 
-/// A task that was handed back less often explains no delay: each time takes about 25 ms.
-const HANDED_BACK_OFTEN: usize = 3;
+/// How long a keeper has a task that it hands back, in milliseconds.
+const HAND_BACK_MS: f64 = 25.0;
 
 impl Cause {
     pub(crate) fn of(story: &Story) -> Self {
@@ -260,7 +260,7 @@
             how: describe(story, line),
         };
     }
-    if let Some(delay) = came_late(lines).or_else(|| handed_back(lines)) {
+    if let Some(delay) = came_late(lines).or_else(|| handed_back(lines, answer)) {
         return delay;
     }
     let waits = lines
@@ -288,14 +288,15 @@
     is_late.then(|| Delay::CameLate { due_in: due_in.into(), estimate: estimate.into() })
 }
 
-/// The task that was handed back most often, if that was often.
-fn handed_back(lines: &[&Line]) -> Option<Delay> {
+/// The task that was handed back most often, if that took most of the time until the answer.
+fn handed_back(lines: &[&Line], answer: &Line) -> Option<Delay> {
     let mut times: BTreeMap<u64, usize> = BTreeMap::new();
     for line in lines.iter().filter(|line| line.text("end") == "not-run") {
         *times.entry(line.number("index")).or_default() += 1;
     }
     let (index, times) = times.into_iter().max_by_key(|(_, times)| *times)?;
-    (times >= HANDED_BACK_OFTEN).then_some(Delay::HandedBack { index, times })
+    let took_most = times as f64 * HAND_BACK_MS * 2.0 > millis(answer.text("after"));
+    took_most.then_some(Delay::HandedBack { index, times })
 }
 
 /// A run that was stopped only because its job had its answer.
--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -170,11 +170,17 @@
 #[test]
 fn a_task_that_found_no_room_is_told() {
     let back = r#"{"time_ms":1030,"node":"entry-1","decision":"task-ended","job":"JOB","index":2,"run":1,"end":"not-run","failures":0,"again":true}"#;
-    let answer = r#"{"time_ms":1800,"node":"entry-1","decision":"answer","job":"JOB","answer":"given-up","why":"lost-too-late","after":"800ms","waited":"30ms","late_by":"400ms","waiting":5,"room":0}"#;
+    let answer = r#"{"time_ms":1800,"node":"entry-1","decision":"answer","job":"JOB","answer":"given-up","why":"lost-too-late","after":"140ms","waited":"30ms","late_by":"400ms","waiting":5,"room":0}"#;
     assert_eq!(
         cause(&[ADMIT, PLACE, START, back, back, back, answer]),
         "given up after it began: task 2 was handed back 3 times, since its keepers had no room for it"
     );
+    // Of a longer wait it is not the cause.
+    let later = answer.replace("\"after\":\"140ms\"", "\"after\":\"1400ms\"");
+    assert_eq!(
+        cause(&[ADMIT, PLACE, START, back, back, back, &later]),
+        "given up after it began: it waited 30ms for room"
+    );
 }
 
 #[test]
