--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -280,7 +280,7 @@
     }
 }
 
-/// Whether too little of a job's time was left when it came to end even the quickest way.
+/// The delay of a job that came with less time left than one of its tasks takes.
 fn came_late(lines: &[&Line]) -> Option<Delay> {
     let admit = first(lines, "admit")?;
     let (due_in, estimate) = (admit.text("due_in"), admit.text("estimate"));
