Split the worlds of the tests, and share what single-entry tests and stand-ins repeat

Home, executor and job of the tests that drive one entry (membership, moves, order) stand in common/fixture.rs.
- dispatch's tests: attempts at executors leave world.rs (408 lines, now 337).
- stand-ins: the store and the leased executor start and stop their server by one serve::Loopback, which binds as Listener does.

No assertion, seed or literal expectation changes; none of this is linked into an entry.

--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A few entries in virtual time, with fake executors, network and platform at their interfaces.
 #![allow(dead_code, missing_docs, unreachable_pub, unused_imports)]
 
+pub mod attempts;
 pub mod caller;
 pub mod check;
 pub mod executor;
--- a/components/dispatch/tests/common/world.rs
+++ b/components/dispatch/tests/common/world.rs
@@ -2,7 +2,7 @@
 
 use super::{
     check::Book,
-    executor::{Began, Executor, Mode, Open},
+    executor::{Began, Executor, Open},
     platform::{Platform, Wanted},
     site::{RUN_TIME, Shape, Work, data_centre, executor_id, firm},
 };
@@ -11,19 +11,12 @@
     id::{AttemptId, DataCentreId, EndpointId, EntryId, Home, Incarnation, RackId, WaiterId},
     unit::{Revision, Span, Time},
 };
-use dispatch::{
-    Action, Decision, Entry, Event, Message,
-    action::Start,
-    entry::Options,
-    event::{Refusal, Reply, Report},
-};
+use dispatch::{Action, Decision, Entry, Event, Message, entry::Options, event::Reply};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
-/// One way between an entry and an executor.
-const REACH: Span = Span(200);
 /// A round trip to the platform.
 const CLAIM: Span = Span::from_millis(3);
 
@@ -261,70 +254,6 @@
         }
     }
 
-    fn start(&mut self, home: Home, start: Start) {
-        self.book.start(home, &start);
-        let key = (home, start.attempt);
-        let limit = start.time_limit;
-        let open = Open { start, since: self.now, began: false };
-        assert!(self.open.insert(key, open).is_none(), "attempt {} is not new", key.1);
-        self.post(REACH, Parcel::Arrive(home, key.1));
-        self.post(limit, Parcel::Expire(home, key.1));
-    }
-
-    /// The request reaches its executor, also when the process that sent it has ended since.
-    fn arrive(&mut self, home: Home, attempt: AttemptId) {
-        let Some(open) = self.open.get_mut(&(home, attempt)) else { return };
-        let executor = self.executors.get_mut(&open.start.endpoint).expect("known executor");
-        if let Some(reply) = executor.receive() {
-            return self.report(home, attempt, reply);
-        }
-        open.began = true;
-        let index = usize::from(open.start.task.index);
-        let began = Began {
-            at: self.now,
-            executor: executor.id,
-            by: home,
-            attempt,
-            task: open.start.task,
-            body: open.start.submission.tasks[index].body.clone(),
-        };
-        executor.running.push((home, attempt));
-        let (id, run_time) = (executor.id, executor.run_time);
-        let submission = open.start.submission.clone();
-        let silent = executor.mode == Mode::Mute;
-        let running: Vec<_> = self.executors.values().flat_map(|x| x.running.clone()).collect();
-        self.book.began(&began, &submission, &self.ledger, &running);
-        self.ledger.push(began);
-        self.post(run_time, Parcel::Finish(home, attempt, id));
-        if silent {
-            self.post(Span(run_time.0 / 2), Parcel::Silence(home, attempt));
-        }
-    }
-
-    fn finish(&mut self, home: Home, attempt: AttemptId, id: EndpointId) {
-        let executor = self.executors.get_mut(&id).expect("known executor");
-        executor.running.retain(|running| *running != (home, attempt));
-        let reply = self.open.get(&(home, attempt)).and_then(|open| {
-            let index = usize::from(open.start.task.index);
-            executor.reply(&open.start.submission.tasks[index].body)
-        });
-        if let Some(reply) = reply {
-            self.report(home, attempt, reply);
-        }
-    }
-
-    fn report(&mut self, home: Home, attempt: AttemptId, reply: Reply) {
-        let Some(open) = self.open.remove(&(home, attempt)) else { return };
-        let leaving = self.executors[&open.start.endpoint].leaving
-            && matches!(reply, Reply::Done(_) | Reply::Failed(_) | Reply::Refused(_));
-        let leaving = leaving || reply == Reply::Refused(Refusal::Leaving);
-        let elapsed = self.now.since(open.since);
-        if leaving {
-            self.book.told_leaving(home, open.start.endpoint);
-        }
-        self.tell(home, Event::Report(Report { attempt, reply, leaving, elapsed }));
-    }
-
     pub(super) fn post(&mut self, wait: Span, parcel: Parcel) {
         self.sequence += 1;
         self.parcels.insert((self.now + wait, self.sequence), parcel);
--- a/components/entry/tests/whole_path.rs
+++ b/components/entry/tests/whole_path.rs
@@ -3,10 +3,8 @@
 mod support;
 
 use serde_json::json;
-use site::id::SubmissionId;
 use standin::ledger::Step;
-use support::World;
-use uuid::Uuid;
+use support::{World, call::pair};
 
 #[test]
 fn one_entry_answers_requests_and_jobs() {
@@ -34,15 +32,9 @@
 #[test]
 fn another_entry_forwards_to_the_home() {
     let world = World::new([2, 0]);
-    let first = world.entry("cut-entry-1", "cutting");
-    let second = world.entry("cut-entry-2", "cutting");
     smol::block_on(async {
-        first.ready(1).await;
-        second.ready(1).await;
-        let token = first.token().await;
-        let is_home = token.home == first.home().await;
-        let (home, other) = if is_home { (first, second) } else { (second, first) };
-        let id = SubmissionId { token, unique: Uuid::new_v4() }.to_string();
+        let (home, other, id) = pair(&world).await;
+        let id = id.to_string();
         let headers = [("primrosestep-id", id.as_str())];
         let path = "/v1/requests/templating";
         let body = r#"{"ms": 5, "echo": "seam"}"#;
--- a/components/runs/tests/common/mod.rs
+++ b/components/runs/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports, reason = "each test uses a part of it")]
 
+pub(crate) mod fixture;
 pub(crate) mod world;
 
 pub(crate) use world::{Fault, Plan, World};
--- a/components/runs/tests/common/world/callers.rs
+++ b/components/runs/tests/common/world/callers.rs
@@ -1,6 +1,9 @@
 //! Callers: what they hand in, what they are told, when they come again.
 
-use super::{ANSWER_SLACK_US, Caller, RESEND_US, Step, World, needs, service};
+use super::{
+    ANSWER_SLACK_US, Caller, RESEND_US, Step, World,
+    layout::{needs, service},
+};
 use rand::Rng;
 use runs::{Event, Job, job::Answer};
 use site::{
--- a/components/runs/tests/common/world/mod.rs
+++ b/components/runs/tests/common/world/mod.rs
@@ -4,19 +4,25 @@
 
 mod callers;
 mod faults;
+mod layout;
+mod nodes;
 mod orders;
+mod plan;
 
+pub(crate) use plan::{Fault, Plan};
+
+use layout::{capacity, executor, home};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use runs::{
-    Action, Entry, Event, Executor, Job, Message, Options,
+    Entry, Event, Executor, Job, Message,
     action::{Look, Start},
     entry::TICK,
     job::Run,
 };
 use site::{
-    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId},
-    unit::{Cores, Memory, Resources, Revision, Slots, Time},
+    id::{EndpointId, Home, Incarnation},
+    unit::Time,
 };
 use standin::leased::Life;
 use std::{
@@ -39,45 +45,6 @@
 /// How late an answer may be against the job's own limit.
 const ANSWER_SLACK_US: u64 = 100_000;
 
-/// What a day consists of.
-#[derive(Clone, Debug)]
-pub(crate) struct Plan {
-    pub entries: usize,
-    pub data_centres: usize,
-    pub executors: usize,
-    /// Jobs a second.
-    pub rate: u64,
-    pub seconds: u64,
-    /// One order in this many gets no answer, or is carried out late.
-    pub lost_orders: Option<u32>,
-    pub faults: Vec<(u64, Fault)>,
-}
-
-/// Something that goes wrong at a moment, for a while.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Fault {
-    /// A process is killed and starts again after 500 ms.
-    Kill { entry: usize },
-    /// A process stands still.
-    Freeze { entry: usize, ms: u64 },
-    /// An entry can't reach the others.
-    Cut { entry: usize, ms: u64 },
-    /// An executor neither acts nor answers.
-    Dark { executor: usize, ms: u64 },
-    /// An executor dies; another life follows after 500 ms.
-    Crash { executor: usize },
-    /// An executor fails all that it starts.
-    Fails { executor: usize, ms: u64 },
-    /// An executor takes many times as long.
-    Slow { executor: usize, ms: u64, factor: u64 },
-    /// An executor is to be emptied.
-    Leave { executor: usize },
-    /// A process is told to stop.
-    Drain { entry: usize },
-    /// A caller leaves.
-    GiveUp,
-}
-
 struct Node {
     home: Home,
     entry: Option<Entry>,
@@ -162,29 +129,6 @@
     pub reports: u64,
 }
 
-pub(crate) fn service() -> ServiceId {
-    ServiceId::of("service")
-}
-
-pub(crate) fn needs() -> Resources {
-    Resources {
-        slots: Slots(1),
-        cores: Cores(27_000),
-        memory: Memory(64 << 20),
-        ..Default::default()
-    }
-}
-
-fn capacity(index: usize) -> Resources {
-    let cores = if index % 3 == 2 { 96_000 } else { 64_000 };
-    Resources {
-        slots: Slots(8),
-        cores: Cores(cores),
-        memory: Memory(256 << 30),
-        ..Default::default()
-    }
-}
-
 impl World {
     pub(crate) fn new(plan: Plan, seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -279,48 +223,6 @@
         self.at(Time(self.now.0 + us), step);
     }
 
-    fn boot(&mut self, node: usize) {
-        let now = self.now;
-        let fresh: u64 = self.random.random();
-        let entry = &mut self.nodes[node];
-        entry.home.incarnation = Incarnation(fresh);
-        entry.entry = Some(Entry::new(entry.home, Options::default(), now));
-        entry.listed = true;
-        entry.exited = false;
-        let incarnation = entry.home.incarnation;
-        self.after(TICK.0, Step::Tick(node, incarnation));
-        let executors = self.executors();
-        self.feed(node, Event::Executors(executors));
-        self.tell_members();
-        for other in 0..self.nodes.len() {
-            self.after(20_000, Step::LinkUp(node, other));
-        }
-    }
-
-    fn executors(&self) -> Vec<Executor> {
-        self.slots.iter().map(|slot| slot.executor.clone()).collect()
-    }
-
-    fn tell_executors(&mut self) {
-        for node in 0..self.nodes.len() {
-            let event = Event::Executors(self.executors());
-            let incarnation = self.nodes[node].home.incarnation;
-            self.after(5_000, Step::Feed(node, incarnation, event));
-        }
-    }
-
-    fn tell_members(&mut self) {
-        self.revision += 1;
-        let members: Vec<_> =
-            self.nodes.iter().filter(|node| node.listed).map(|node| node.home).collect();
-        for node in 0..self.nodes.len() {
-            let event =
-                Event::Members { revision: Revision(self.revision), members: members.clone() };
-            let incarnation = self.nodes[node].home.incarnation;
-            self.after(5_000, Step::Feed(node, incarnation, event));
-        }
-    }
-
     fn step(&mut self, step: Step) {
         match step {
             Step::Feed(node, incarnation, event) => {
@@ -371,84 +273,6 @@
         }
     }
 
-    fn is_up(&self, node: usize) -> bool {
-        self.nodes[node].entry.is_some()
-    }
-
-    fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.nodes[a].cut_until > self.now || self.nodes[b].cut_until > self.now
-    }
-
-    fn link(&mut self, a: usize, b: usize) {
-        if a == b || !self.is_up(a) || !self.is_up(b) {
-            return;
-        }
-        if self.is_cut(a, b) {
-            self.after(100_000, Step::LinkUp(a, b));
-            return;
-        }
-        let (first, second) = (self.nodes[a].home, self.nodes[b].home);
-        for (node, peer, me) in [(a, second, first), (b, first, second)] {
-            if self.links.insert((peer, me)) {
-                self.feed(node, Event::PeerUp { peer });
-            }
-        }
-    }
-
-    fn feed(&mut self, node: usize, event: Event) {
-        let entry = &self.nodes[node];
-        if entry.entry.is_none() {
-            return;
-        }
-        if entry.frozen_until > self.now {
-            let (until, incarnation) = (entry.frozen_until, entry.home.incarnation);
-            let step = match event {
-                Event::Message { from, message } => Step::Deliver { from, to: node, message },
-                event => Step::Feed(node, incarnation, event),
-            };
-            self.at(until, step);
-            return;
-        }
-        let mut actions = Vec::new();
-        let now = self.now;
-        if let Some(entry) = &mut self.nodes[node].entry {
-            entry.handle(now, event, &mut actions);
-        }
-        for action in actions {
-            self.carry_out(node, action);
-        }
-    }
-
-    fn carry_out(&mut self, node: usize, action: Action) {
-        let home = self.nodes[node].home;
-        let incarnation = home.incarnation;
-        match action {
-            Action::Start(start) => {
-                self.after(WAY_US, Step::Order(node, incarnation, Order::Start(start)));
-            }
-            Action::Stop { executor, run, token } => {
-                let order = Order::Stop { executor, run, token };
-                self.after(WAY_US, Step::Order(node, incarnation, order));
-            }
-            Action::Look(look) => {
-                let until = Time(self.now.0 + WAY_US + look.wait.0);
-                let order = Order::Look(look, until, Arrival::Coming);
-                self.after(WAY_US, Step::Order(node, incarnation, order));
-            }
-            Action::Answer { waiter, answer } => self.answer(waiter, answer),
-            Action::Send { to, message } => {
-                let counts = matches!(message, Message::Report(_)) && self.is_busy();
-                self.reports += u64::from(counts);
-                let Some(peer) = self.nodes.iter().position(|node| node.home == to) else { return };
-                if !self.is_cut(node, peer) {
-                    self.after(WAY_US, Step::Deliver { from: home, to: peer, message });
-                }
-            }
-            Action::Log(decision) => println!("{} {node} {decision:?}", self.now),
-            Action::Exit => self.nodes[node].exited = true,
-        }
-    }
-
     /// Whether jobs come in.
     fn is_busy(&self) -> bool {
         (BEGIN_US..self.end_us()).contains(&self.now.0)
@@ -464,25 +288,3 @@
         self.nodes[node].exited
     }
 }
-
-fn home(index: usize, data_centres: usize, incarnation: u64) -> Home {
-    Home {
-        data_centre: DataCentreId((index % data_centres) as u64),
-        entry: EntryId::of(&format!("entry-{index}")),
-        incarnation: Incarnation(incarnation),
-    }
-}
-
-fn executor(index: usize, life: u32, data_centres: usize) -> Executor {
-    let name = format!("i-{index}-{life}");
-    Executor {
-        id: EndpointId::of(&name),
-        name: name.into(),
-        address: ([127, 0, 0, 1], index as u16 + 1).into(),
-        data_centre: DataCentreId((index % data_centres) as u64),
-        service: service(),
-        capacity: capacity(index),
-        labels: Vec::new(),
-        leaving: false,
-    }
-}
--- /dev/null
+++ b/components/runs/tests/common/world/nodes.rs
@@ -0,0 +1,131 @@
+//! Processes of entries: their starts, their connections, and what they are told and do.
+
+use super::{Arrival, Order, Step, WAY_US, World};
+use rand::Rng;
+use runs::{Action, Entry, Event, Executor, Message, Options, entry::TICK};
+use site::{
+    id::Incarnation,
+    unit::{Revision, Time},
+};
+
+impl World {
+    pub(super) fn boot(&mut self, node: usize) {
+        let now = self.now;
+        let fresh: u64 = self.random.random();
+        let entry = &mut self.nodes[node];
+        entry.home.incarnation = Incarnation(fresh);
+        entry.entry = Some(Entry::new(entry.home, Options::default(), now));
+        entry.listed = true;
+        entry.exited = false;
+        let incarnation = entry.home.incarnation;
+        self.after(TICK.0, Step::Tick(node, incarnation));
+        let executors = self.executors();
+        self.feed(node, Event::Executors(executors));
+        self.tell_members();
+        for other in 0..self.nodes.len() {
+            self.after(20_000, Step::LinkUp(node, other));
+        }
+    }
+
+    pub(super) fn executors(&self) -> Vec<Executor> {
+        self.slots.iter().map(|slot| slot.executor.clone()).collect()
+    }
+
+    pub(super) fn tell_executors(&mut self) {
+        for node in 0..self.nodes.len() {
+            let event = Event::Executors(self.executors());
+            let incarnation = self.nodes[node].home.incarnation;
+            self.after(5_000, Step::Feed(node, incarnation, event));
+        }
+    }
+
+    pub(super) fn tell_members(&mut self) {
+        self.revision += 1;
+        let members: Vec<_> =
+            self.nodes.iter().filter(|node| node.listed).map(|node| node.home).collect();
+        for node in 0..self.nodes.len() {
+            let event =
+                Event::Members { revision: Revision(self.revision), members: members.clone() };
+            let incarnation = self.nodes[node].home.incarnation;
+            self.after(5_000, Step::Feed(node, incarnation, event));
+        }
+    }
+
+    pub(super) fn is_up(&self, node: usize) -> bool {
+        self.nodes[node].entry.is_some()
+    }
+
+    pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.nodes[a].cut_until > self.now || self.nodes[b].cut_until > self.now
+    }
+
+    pub(super) fn link(&mut self, a: usize, b: usize) {
+        if a == b || !self.is_up(a) || !self.is_up(b) {
+            return;
+        }
+        if self.is_cut(a, b) {
+            self.after(100_000, Step::LinkUp(a, b));
+            return;
+        }
+        let (first, second) = (self.nodes[a].home, self.nodes[b].home);
+        for (node, peer, me) in [(a, second, first), (b, first, second)] {
+            if self.links.insert((peer, me)) {
+                self.feed(node, Event::PeerUp { peer });
+            }
+        }
+    }
+
+    pub(super) fn feed(&mut self, node: usize, event: Event) {
+        let entry = &self.nodes[node];
+        if entry.entry.is_none() {
+            return;
+        }
+        if entry.frozen_until > self.now {
+            let (until, incarnation) = (entry.frozen_until, entry.home.incarnation);
+            let step = match event {
+                Event::Message { from, message } => Step::Deliver { from, to: node, message },
+                event => Step::Feed(node, incarnation, event),
+            };
+            self.at(until, step);
+            return;
+        }
+        let mut actions = Vec::new();
+        let now = self.now;
+        if let Some(entry) = &mut self.nodes[node].entry {
+            entry.handle(now, event, &mut actions);
+        }
+        for action in actions {
+            self.carry_out(node, action);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, node: usize, action: Action) {
+        let home = self.nodes[node].home;
+        let incarnation = home.incarnation;
+        match action {
+            Action::Start(start) => {
+                self.after(WAY_US, Step::Order(node, incarnation, Order::Start(start)));
+            }
+            Action::Stop { executor, run, token } => {
+                let order = Order::Stop { executor, run, token };
+                self.after(WAY_US, Step::Order(node, incarnation, order));
+            }
+            Action::Look(look) => {
+                let until = Time(self.now.0 + WAY_US + look.wait.0);
+                let order = Order::Look(look, until, Arrival::Coming);
+                self.after(WAY_US, Step::Order(node, incarnation, order));
+            }
+            Action::Answer { waiter, answer } => self.answer(waiter, answer),
+            Action::Send { to, message } => {
+                let counts = matches!(message, Message::Report(_)) && self.is_busy();
+                self.reports += u64::from(counts);
+                let Some(peer) = self.nodes.iter().position(|node| node.home == to) else { return };
+                if !self.is_cut(node, peer) {
+                    self.after(WAY_US, Step::Deliver { from: home, to: peer, message });
+                }
+            }
+            Action::Log(decision) => println!("{} {node} {decision:?}", self.now),
+            Action::Exit => self.nodes[node].exited = true,
+        }
+    }
+}
--- a/components/runs/tests/common/world/orders.rs
+++ b/components/runs/tests/common/world/orders.rs
@@ -1,6 +1,6 @@
 //! Orders on their way to executors, and what they do there.
 
-use super::{Arrival, ORDER_US, Order, Step, WAY_US, World, needs};
+use super::{Arrival, ORDER_US, Order, Step, WAY_US, World, layout::needs};
 use rand::Rng;
 use runs::{
     Event,
--- a/components/runs/tests/membership.rs
+++ b/components/runs/tests/membership.rs
@@ -1,33 +1,19 @@
 //! When an entry begins to keep executors.
 
+mod common;
+
+use common::fixture::{executor, home, job, needs};
 use runs::{
-    Action, Entry, Event, Executor, Job, Message, Options,
+    Action, Entry, Event, Executor, Message, Options,
     executor::{Answered, Lists, Started},
     job::{Key, Run, Task},
     message::{Ended, Report, Yield, Yielded},
 };
 use site::{
-    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId, WaiterId},
-    unit::{Cores, Resources, Revision, Slots, Span, Time},
+    id::{EndpointId, Home, WaiterId},
+    unit::{Revision, Span, Time},
 };
 
-fn home(name: &str) -> Home {
-    Home { data_centre: DataCentreId(1), entry: EntryId::of(name), incarnation: Incarnation(7) }
-}
-
-fn executor() -> Executor {
-    Executor {
-        id: EndpointId::of("i-1"),
-        name: "i-1".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        data_centre: DataCentreId(1),
-        service: ServiceId::of("service"),
-        capacity: Resources { slots: Slots(8), cores: Cores(64_000), ..Resources::default() },
-        labels: Vec::new(),
-        leaving: false,
-    }
-}
-
 /// Ticks for a second; returns the tokens of the looks.
 fn looks(entry: &mut Entry, from: u64) -> Vec<u64> {
     let mut out = Vec::new();
@@ -71,25 +57,6 @@
     assert!(!looks(&mut entry, 20_000).is_empty());
 }
 
-fn job(now: Time) -> Job {
-    Job {
-        name: "00000000000000aa".into(),
-        request: "".into(),
-        spec: "x".into(),
-        tasks: 1,
-        needs: Resources { slots: Slots(1), cores: Cores(1_000), ..Resources::default() },
-        label: None,
-        per_executor: None,
-        estimate: Span::from_millis(900),
-        service: ServiceId::of("service"),
-        priority: 0,
-        max_failures: 4,
-        due: now + Span::from_secs(3),
-        give_up: now + Span::from_secs(9),
-        first_run: 1,
-    }
-}
-
 /// Hands in what sound executors answer that run `running` for good. `fenced` looks are refused.
 fn answer(
     entry: &mut Entry,
@@ -162,11 +129,10 @@
 fn yielded(home: Home) -> Yield {
     let task = Task { job: Key { home, number: 1 }, index: 0 };
     let run = Run { job: "00000000000000aa".into(), index: 0, number: 1 };
-    let needs = Resources { slots: Slots(1), cores: Cores(1_000), ..Resources::default() };
     let running = Yielded {
         run,
         task,
-        needs,
+        needs: needs(),
         estimate: Span::from_millis(900),
         running_for: Span::from_millis(80),
         give_up_in: Span::from_secs(9),
--- a/components/runs/tests/moves.rs
+++ b/components/runs/tests/moves.rs
@@ -1,5 +1,8 @@
 //! What a home does when it hears that runs of its tasks have another keeper.
 
+mod common;
+
+use common::fixture::{home, job};
 use runs::{
     Action, Entry, Event, Job, Message, Options,
     action::Decision,
@@ -7,35 +10,12 @@
     message::{End, Ended, Moved, Report, Room},
 };
 use site::{
-    id::{DataCentreId, EntryId, Home, Incarnation, ServiceId, WaiterId},
-    unit::{Cores, Resources, Slots, Span, Time},
+    id::WaiterId,
+    unit::{Span, Time},
 };
 
 const WAITER: WaiterId = WaiterId(1);
 
-fn home(name: &str) -> Home {
-    Home { data_centre: DataCentreId(1), entry: EntryId::of(name), incarnation: Incarnation(7) }
-}
-
-fn job(now: Time) -> Job {
-    Job {
-        name: "00000000000000aa".into(),
-        request: "".into(),
-        spec: "x".into(),
-        tasks: 1,
-        needs: Resources { slots: Slots(1), cores: Cores(1_000), ..Resources::default() },
-        label: None,
-        per_executor: None,
-        estimate: Span::from_millis(900),
-        service: ServiceId::of("service"),
-        priority: 0,
-        max_failures: 4,
-        due: now + Span::from_secs(6),
-        give_up: now + Span::from_secs(9),
-        first_run: 1,
-    }
-}
-
 /// A home of one job, whose first keeper it lost, so that it placed the task again at another.
 struct Scene {
     entry: Entry,
@@ -54,7 +34,8 @@
         let entry = Entry::new(me, Options::default(), now);
         let mut scene = Scene { entry, now, task, runs: Vec::new(), out: Vec::new() };
         scene.reports("keeper-1");
-        scene.handle(Event::Submit { waiter: WAITER, job: job(now) });
+        let job = Job { due: now + Span::from_secs(6), ..job(now) };
+        scene.handle(Event::Submit { waiter: WAITER, job });
         scene
     }
 
--- a/components/runs/tests/order.rs
+++ b/components/runs/tests/order.rs
@@ -1,5 +1,8 @@
 //! Which of the tasks that wait is started next.
 
+mod common;
+
+use common::fixture::{executor, home, job};
 use runs::{
     Action, Entry, Event, Executor, Job, Options,
     action::Look,
@@ -7,29 +10,12 @@
     job::Run,
 };
 use site::{
-    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId, WaiterId},
+    id::WaiterId,
     unit::{Cores, Resources, Revision, Slots, Span, Time},
 };
 
 const STEP: Span = Span::from_millis(5);
 
-fn resources(slots: u32) -> Resources {
-    Resources { slots: Slots(slots), cores: Cores(1_000 * slots), ..Resources::default() }
-}
-
-fn executor() -> Executor {
-    Executor {
-        id: EndpointId::of("i-1"),
-        name: "i-1".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        data_centre: DataCentreId(1),
-        service: ServiceId::of("service"),
-        capacity: resources(2),
-        labels: Vec::new(),
-        leaving: false,
-    }
-}
-
 /// An entry with one executor of two slots, whose tasks end when a test says so.
 struct Scene {
     entry: Entry,
@@ -45,11 +31,7 @@
 
 impl Scene {
     fn new() -> Self {
-        let me = Home {
-            data_centre: DataCentreId(1),
-            entry: EntryId::of("entry-1"),
-            incarnation: Incarnation(7),
-        };
+        let me = home("entry-1");
         let now = Time(1_000_000);
         let mut scene = Scene {
             entry: Entry::new(me, Options::default(), now),
@@ -61,7 +43,8 @@
             jobs: 0,
         };
         scene.handle(Event::Members { revision: Revision(41), members: vec![me] });
-        scene.handle(Event::Executors(vec![executor()]));
+        let capacity = Resources { slots: Slots(2), cores: Cores(2_000), ..Resources::default() };
+        scene.handle(Event::Executors(vec![Executor { capacity, ..executor() }]));
         scene.wait(Span::from_millis(300));
         scene
     }
@@ -115,19 +98,10 @@
         self.jobs += 1;
         let job = Job {
             name: name.into(),
-            request: "".into(),
-            spec: "x".into(),
             tasks,
-            needs: resources(1),
-            label: None,
-            per_executor: None,
             estimate: Span::from_millis(400),
-            service: ServiceId::of("service"),
-            priority: 0,
-            max_failures: 4,
             due: self.now + due,
-            give_up: self.now + Span::from_secs(9),
-            first_run: 1,
+            ..job(self.now)
         };
         self.handle(Event::Submit { waiter: WaiterId(self.jobs), job });
     }
--- a/components/standin/src/kv/serve.rs
+++ b/components/standin/src/kv/serve.rs
@@ -1,6 +1,7 @@
 //! The store's HTTP interface and its faults.
 
 use super::state::{Change, Item, Refused, State};
+use crate::serve::Loopback;
 use base64::{Engine, prelude::BASE64_STANDARD};
 use event_listener::Event;
 use parking_lot::Mutex;
@@ -10,12 +11,11 @@
 use std::{
     collections::BTreeMap,
     io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use trillium::{Conn, Handler, Method};
-use trillium_smol::Stopper;
 
 /// How often ended leases are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
@@ -41,7 +41,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     shared: Arc<Shared>,
-    stopper: Stopper,
+    _server: Loopback,
     _expiry: Task<()>,
 }
 
@@ -89,16 +89,7 @@
     /// When the address can't be bound.
     pub fn start() -> io::Result<Store> {
         let shared = Arc::new(Shared::default());
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let stopper = Stopper::new();
-        trillium_smol::config()
-            .without_signals()
-            .with_nodelay()
-            .with_stopper(stopper.clone())
-            .with_prebound_server(trillium_smol::async_net::TcpListener::try_from(listener)?)
-            .spawn(Front(shared.clone()));
+        let server = Loopback::start(Front(shared.clone()))?;
         let expiring = shared.clone();
         let expiry = smol::spawn(async move {
             loop {
@@ -109,7 +100,7 @@
                 }
             }
         });
-        Ok(Store { address, shared, stopper, _expiry: expiry })
+        Ok(Store { address: server.address, shared, _server: server, _expiry: expiry })
     }
 
     /// Changes how the store behaves.
@@ -145,12 +136,6 @@
     }
 }
 
-impl Drop for Store {
-    fn drop(&mut self) {
-        self.stopper.stop();
-    }
-}
-
 /// Answers calls.
 struct Front(Arc<Shared>);
 
--- a/components/standin/src/leased/serve.rs
+++ b/components/standin/src/leased/serve.rs
@@ -1,6 +1,7 @@
 //! The executor's HTTP interface.
 
 use super::Life;
+use crate::serve::Loopback;
 use event_listener::Event;
 use parking_lot::Mutex;
 use runs::{
@@ -18,12 +19,11 @@
 use std::{
     collections::BTreeMap,
     io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use trillium::{Conn, Handler, Status};
-use trillium_smol::Stopper;
 
 /// How often a waiting look is answered anew.
 const POLL: Duration = Duration::from_millis(3);
@@ -50,7 +50,7 @@
     /// Names its life.
     pub name: String,
     shared: Arc<Shared>,
-    stopper: Stopper,
+    _server: Loopback,
 }
 
 #[derive(Debug)]
@@ -167,17 +167,8 @@
             twice: twice.clone(),
             changed: Event::new(),
         });
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let stopper = Stopper::new();
-        trillium_smol::config()
-            .without_signals()
-            .with_nodelay()
-            .with_stopper(stopper.clone())
-            .with_prebound_server(trillium_smol::async_net::TcpListener::try_from(listener)?)
-            .spawn(Front(shared.clone()));
-        Ok(Executor { address, name: name.to_owned(), shared, stopper })
+        let server = Loopback::start(Front(shared.clone()))?;
+        Ok(Executor { address: server.address, name: name.to_owned(), shared, _server: server })
     }
 
     /// Its entry in the platform's store.
@@ -211,12 +202,6 @@
     }
 }
 
-impl Drop for Executor {
-    fn drop(&mut self) {
-        self.stopper.stop();
-    }
-}
-
 impl Shared {
     fn now(&self) -> Time {
         Time(self.begun.elapsed().as_micros() as u64)
--- a/components/standin/src/serve/listener.rs
+++ b/components/standin/src/serve/listener.rs
@@ -76,7 +76,7 @@
     }
 }
 
-fn bind(address: SocketAddr) -> io::Result<(async_net::TcpListener, SocketAddr)> {
+pub(super) fn bind(address: SocketAddr) -> io::Result<(async_net::TcpListener, SocketAddr)> {
     let socket = TcpListener::bind(address)?;
     socket.set_nonblocking(true)?;
     let address = socket.local_addr()?;
--- /dev/null
+++ b/components/standin/src/serve/loopback.rs
@@ -0,0 +1,34 @@
+//! A server on a loopback address.
+
+use super::listener::bind;
+use std::{io, net::SocketAddr};
+use trillium::Handler;
+use trillium_smol::Stopper;
+
+/// A server on a loopback address. Stops when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Loopback {
+    pub(crate) address: SocketAddr,
+    stopper: Stopper,
+}
+
+impl Loopback {
+    /// Answers with `handler` on a port that the system chooses.
+    pub(crate) fn start(handler: impl Handler) -> io::Result<Loopback> {
+        let (listener, address) = bind(([127, 0, 0, 1], 0).into())?;
+        let stopper = Stopper::new();
+        trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_stopper(stopper.clone())
+            .with_prebound_server(listener)
+            .spawn(handler);
+        Ok(Loopback { address, stopper })
+    }
+}
+
+impl Drop for Loopback {
+    fn drop(&mut self) {
+        self.stopper.stop();
+    }
+}
--- a/components/standin/src/serve/mod.rs
+++ b/components/standin/src/serve/mod.rs
@@ -3,9 +3,11 @@
 mod answer;
 mod control;
 mod listener;
+mod loopback;
 mod node;
 
 pub(crate) use answer::{Answer, serve};
 pub(crate) use control::Control;
 pub(crate) use listener::Listener;
+pub(crate) use loopback::Loopback;
 pub(crate) use node::{Attempt, Node};
