A fault soak of real entries behind proxies, and proof that its checks find what is broken

Entries are processes behind TCP proxies (callers, store, executors) and a datagram relay (peers); signals kill, pause and stop them. Ten promises are checked from outside.

--- a/components/standin/src/leased/life.rs
+++ b/components/standin/src/leased/life.rs
@@ -7,7 +7,7 @@
     job::Run,
 };
 use site::unit::{Resources, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Longest lease, in milliseconds of the executor's clock.
 const LEASE_MOST: u64 = 1_000;
@@ -47,6 +47,8 @@
     deadline: u64,
     /// Highest run of each task that ended or was stopped.
     past: BTreeMap<(String, u16), u32>,
+    /// Tasks that have run to their ends, by job and index.
+    pub done: BTreeSet<(String, u16)>,
     /// It takes orders, but neither carries them out nor answers.
     pub dark_until: Time,
     /// Whether it is up.
@@ -70,6 +72,7 @@
             fence: 0,
             deadline: 0,
             past: BTreeMap::new(),
+            done: BTreeSet::new(),
             dark_until: Time(0),
             up: true,
             factor: 1,
@@ -101,6 +104,9 @@
     fn end(&mut self, run: Run, how: How) {
         self.running.remove(&run);
         self.note_past(&run);
+        if how == How::Done {
+            self.done.insert((run.job.to_string(), run.index));
+        }
         self.ended.push(Ended { number: self.next, run: Some(run), how });
         self.next += 1;
     }
--- a/components/standin/src/leased/mod.rs
+++ b/components/standin/src/leased/mod.rs
@@ -6,4 +6,4 @@
 mod serve;
 
 pub use life::{Life, Running};
-pub use serve::{Executor, Twice};
+pub use serve::{Begun, Executor, Twice};
--- a/components/standin/src/leased/serve.rs
+++ b/components/standin/src/leased/serve.rs
@@ -34,9 +34,22 @@
     state: Mutex<Ledger>,
 }
 
+/// A run that an executor has begun.
+#[derive(Clone, Debug)]
+pub struct Begun {
+    /// When, since the time from which all clocks of a test count.
+    pub at: Time,
+    /// The executor.
+    pub executor: String,
+    /// The run.
+    pub run: Run,
+}
+
 #[derive(Debug, Default)]
 struct Ledger {
     starts: BTreeMap<String, u64>,
+    /// All starts, in order.
+    begun: Vec<Begun>,
     /// What was seen to run on two executors at a time.
     broken: Vec<String>,
     lives: Vec<Arc<Mutex<Life>>>,
@@ -126,8 +139,21 @@
         state.starts.iter().filter(|(name, _)| name.starts_with(job)).map(|(_, n)| n).sum()
     }
 
-    fn check(&self, now: Time, own: &Arc<Mutex<Life>>, run: &Run) {
+    /// All runs that were begun, in order.
+    pub fn begun(&self) -> Vec<Begun> {
+        self.state.lock().begun.clone()
+    }
+
+    /// Whether a task has run to its end anywhere.
+    pub fn is_done(&self, job: &str, index: u16) -> bool {
+        let lives = self.state.lock().lives.clone();
+        lives.iter().any(|life| life.lock().done.contains(&(job.to_owned(), index)))
+    }
+
+    fn check(&self, now: Time, executor: &str, own: &Arc<Mutex<Life>>, run: &Run) {
         let mut state = self.state.lock();
+        let executor = executor.to_owned();
+        state.begun.push(Begun { at: now, executor, run: run.clone() });
         *state.starts.entry(format!("{}.{}", run.job, run.index)).or_default() += 1;
         let others: Vec<_> =
             state.lives.iter().filter(|life| !Arc::ptr_eq(life, own)).cloned().collect();
@@ -173,9 +199,21 @@
 
     /// Its entry in the platform's store.
     pub fn entry(&self, service: &str, zone: &str, draining: bool, sequence: u64) -> Vec<u8> {
+        self.entry_at(self.address, service, zone, draining, sequence)
+    }
+
+    /// The same for an executor that is reached at another address.
+    pub fn entry_at(
+        &self,
+        address: SocketAddr,
+        service: &str,
+        zone: &str,
+        draining: bool,
+        sequence: u64,
+    ) -> Vec<u8> {
         let entry = Entry {
             service,
-            address: self.address,
+            address,
             zone,
             version: "v1",
             slots: 8,
@@ -234,7 +272,7 @@
         match reply {
             Started::Running { clock } => {
                 if is_new {
-                    self.twice.check(now, &self.life, &run);
+                    self.twice.check(now, &self.name, &self.life, &run);
                 }
                 (200, json!({ "clock_ms": clock }))
             }
--- a/components/standin/src/serve/loopback.rs
+++ b/components/standin/src/serve/loopback.rs
@@ -7,14 +7,19 @@
 
 /// A server on a loopback address. Stops when it is dropped.
 #[derive(Debug)]
-pub(crate) struct Loopback {
-    pub(crate) address: SocketAddr,
+pub struct Loopback {
+    /// Where it listens.
+    pub address: SocketAddr,
     stopper: Stopper,
 }
 
 impl Loopback {
     /// Answers with `handler` on a port that the system chooses.
-    pub(crate) fn start(handler: impl Handler) -> io::Result<Loopback> {
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub fn start(handler: impl Handler) -> io::Result<Loopback> {
         let (listener, address) = bind(([127, 0, 0, 1], 0).into())?;
         let stopper = Stopper::new();
         trillium_smol::config()
--- a/components/standin/src/serve/mod.rs
+++ b/components/standin/src/serve/mod.rs
@@ -9,5 +9,5 @@
 pub(crate) use answer::{Answer, serve};
 pub(crate) use control::Control;
 pub(crate) use listener::Listener;
-pub(crate) use loopback::Loopback;
+pub use loopback::Loopback;
 pub(crate) use node::{Attempt, Node};
--- /dev/null
+++ b/soak/src/check/mod.rs
@@ -0,0 +1,46 @@
+//! The promises, checked against what was seen from outside.
+
+mod broken;
+mod configuration;
+mod jobs;
+mod leaving;
+
+pub use broken::Broken;
+
+use crate::history::Record;
+use standin::leased::Twice;
+use std::time::{Duration, Instant};
+
+/// An unplanned fault counts for this long after its end: the time after which an entry has to be
+/// back in touch.
+pub const CONTACT: Duration = Duration::from_secs(3);
+
+/// What a play is judged by.
+#[derive(Debug)]
+pub struct Evidence<'a> {
+    /// What callers and operators saw.
+    pub record: &'a Record,
+    /// What executors saw.
+    pub twice: &'a Twice,
+    /// The time from which executors count.
+    pub begun: Instant,
+    /// When the faults were over and had time to heal.
+    pub healed: Instant,
+    /// Names of the executors, by index.
+    pub executors: &'a [String],
+    /// Runs that are there after everything has come to rest.
+    pub left_over: &'a [String],
+}
+
+/// All that was broken.
+pub fn check(evidence: &Evidence<'_>) -> Vec<Broken> {
+    let mut broken: Vec<Broken> =
+        evidence.twice.broken().into_iter().map(|runs| Broken::Twice { runs }).collect();
+    broken.extend(jobs::check(evidence));
+    broken.extend(configuration::check(evidence));
+    broken.extend(leaving::check(evidence));
+    let unwanted = evidence.record.unwanted.iter();
+    broken.extend(unwanted.map(|(run, span)| Broken::Unwanted { run: run.clone(), span: *span }));
+    broken.extend(evidence.left_over.iter().map(|run| Broken::LeftOver { run: run.clone() }));
+    broken
+}
