--- a/soak/src/check/jobs.rs
+++ b/soak/src/check/jobs.rs
@@ -56,6 +56,10 @@
         Outcome::Odd(status) => Some(Broken::Odd { job, status }),
         Outcome::Broken if evidence.record.is_calm(attempt.sent, at, CONTACT) => {
             let stop = stop(evidence, attempt, at)?;
+            // An entry that closes an idle connection can't know of a request on its way.
+            if !evidence.read[entry].contains(name) {
+                return None;
+            }
             let after = at.saturating_duration_since(stop.at);
             Some(Broken::Cut { job, entry, after })
         }
--- a/soak/src/check/mod.rs
+++ b/soak/src/check/mod.rs
@@ -9,7 +9,10 @@
 
 use crate::history::Record;
 use standin::leased::Twice;
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 /// An unplanned fault counts for this long after its end: the time after which an entry has to be
 /// back in touch.
@@ -28,6 +31,8 @@
     pub healed: Instant,
     /// Names of the executors, by index.
     pub executors: &'a [String],
+    /// Jobs that each entry has read, by name.
+    pub read: &'a [HashSet<String>],
     /// Runs that are there after everything has come to rest.
     pub left_over: &'a [String],
 }
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -14,6 +14,7 @@
 use derive_more::Display;
 use smol::{Task, Timer};
 use std::{
+    collections::HashSet,
     path::{Path, PathBuf},
     sync::{
         Arc,
@@ -122,7 +123,11 @@
     Timer::after(REST).await;
     drop(watching);
     let record = history.record();
-    let broken = judge(site, &record, healed);
+    let mut read = site.read().await?;
+    if let Some(rogue) = &rogue {
+        read[0].extend(rogue.read());
+    }
+    let broken = judge(site, &record, healed, &read);
     let logs = (!broken.is_empty()).then(|| site.folder().to_owned());
     Ok(verdict(seed, &record, steps, broken, logs))
 }
@@ -146,7 +151,7 @@
     Ok(())
 }
 
-fn judge(site: &Site, record: &Record, healed: Instant) -> Vec<Broken> {
+fn judge(site: &Site, record: &Record, healed: Instant, read: &[HashSet<String>]) -> Vec<Broken> {
     let workers = site.workers.iter();
     let executors: Vec<_> = workers.clone().map(|worker| worker.executor.name.clone()).collect();
     let left_over: Vec<_> =
@@ -157,6 +162,7 @@
         begun: site.begun,
         healed,
         executors: &executors,
+        read,
         left_over: &left_over,
     })
 }
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -107,10 +107,8 @@
     };
     let there = pump(near.clone(), far.clone(), Side::Connecting, &shared);
     let back = pump(far.clone(), near.clone(), Side::Connected, &shared);
-    let both = async {
-        let (there, back) = smol::future::zip(there, back).await;
-        there.and(back)
-    };
+    // An end may close its direction and still read; an error ends both.
+    let both = async { smol::future::try_zip(there, back).await.map(drop) };
     let ended = async {
         shared.until(|state| state.generation != generation).await;
         Err(io::ErrorKind::ConnectionReset.into())
--- a/soak/src/sabotage.rs
+++ b/soak/src/sabotage.rs
@@ -8,6 +8,7 @@
     site::Site,
 };
 use endpoint::http::{Ask, Caller, Options};
+use parking_lot::Mutex;
 use serde_json::{Value, json};
 use smol::Timer;
 use standin::Loopback;
@@ -72,6 +73,7 @@
 pub struct Rogue {
     /// Where callers reach it.
     pub address: SocketAddr,
+    read: Arc<Mutex<Vec<String>>>,
     _proxy: Arc<OnceLock<Proxy>>,
     _server: Loopback,
 }
@@ -81,6 +83,8 @@
     sabotage: Sabotage,
     caller: Arc<Caller>,
     executors: Vec<SocketAddr>,
+    /// Jobs that were read, by name.
+    read: Arc<Mutex<Vec<String>>>,
     /// What callers come through, so that their connections can be reset.
     proxy: Arc<OnceLock<Proxy>>,
 }
@@ -95,11 +99,17 @@
         let executors = site.workers.iter().map(|worker| worker.executor.address).collect();
         let caller = Arc::new(Caller::new(8, Options::default()));
         let proxy = Arc::new(OnceLock::new());
-        let front = Front { sabotage, caller, executors, proxy: proxy.clone() };
+        let read = Arc::new(Mutex::default());
+        let front = Front { sabotage, caller, executors, read: read.clone(), proxy: proxy.clone() };
         let server = Loopback::start(front)?;
         let started = Proxy::start(server.address).await?;
         let address = proxy.get_or_init(|| started).address;
-        Ok(Rogue { address, _proxy: proxy, _server: server })
+        Ok(Rogue { address, read, _proxy: proxy, _server: server })
+    }
+
+    /// Jobs that were read, by name.
+    pub fn read(&self) -> Vec<String> {
+        self.read.lock().clone()
     }
 }
 
@@ -114,6 +124,7 @@
         let name = conn.path().trim_start_matches(document::JOBS).to_owned();
         // A body that can't be read ends the connection anyway.
         let _ = conn.request_body_string().await;
+        self.read.lock().push(name.clone());
         match self.sabotage {
             Sabotage::Completion => conn.ok(r#"{"state":"completed"}"#),
             Sabotage::Refusal => {
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -9,12 +9,14 @@
     relay::Relay,
 };
 use endpoint::http::{Ask, Caller, Options};
+use serde_json::Value;
 use smol::{Timer, lock::Mutex};
 use standin::{
     kv::Store,
     leased::{Executor, Twice},
 };
 use std::{
+    collections::HashSet,
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -126,6 +128,20 @@
         Ok(())
     }
 
+    /// Jobs that each entry has read, by name, as its log says.
+    ///
+    /// # Errors
+    ///
+    /// When a log can't be read.
+    pub async fn read(&self) -> Result<Vec<HashSet<String>>, Error> {
+        let mut read = Vec::new();
+        for node in &self.nodes {
+            let log = node.entry.lock().await.log()?;
+            read.push(log.lines().filter_map(admitted).collect());
+        }
+        Ok(read)
+    }
+
     /// Where the logs are.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -182,6 +198,13 @@
     }
 }
 
+/// The job that a line of a log says was taken in.
+fn admitted(line: &str) -> Option<String> {
+    // Lines of other libraries need not be JSON.
+    let line: Value = serde_json::from_str(line).ok()?;
+    (line["decision"] == "admit").then(|| line["job"].as_str().map(str::to_owned))?
+}
+
 fn data_centre(index: usize) -> &'static str {
     DATA_CENTRES[index % DATA_CENTRES.len()]
 }
