Control work that does not grow with the site: sparse connections, fewer reports, only what differs

Found by reading what each event costs: a TLS handshake of 5 ms with each other entry, reports to all every 150 ms, each heartbeat of an executor read as a change of all executors, each change of the view comparing all executors with all entries.

- Peers without tasks of an entry hear of it every 4 ms times their number instead of 150 ms.
- An executor's entry counts as changed when what is read of it differs.
- An entry of its own data centre's keepers is computed once a view, changes of the view at most once in 20 ms.

--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -48,11 +48,16 @@
     clocks: FxHashMap<Home, Offset>,
     /// The latest event.
     latest: Time,
+    /// When the executors that are kept were last compared with the view.
     reconciled: Time,
+    /// The view has changed since then.
+    unreconciled: bool,
     /// What the peers near this entry were last told.
     told_near: Told,
-    /// What the other peers were last told.
+    /// What the other peers were last told, of them at least those that have tasks of this entry.
     told_far: Told,
+    /// When all peers were last told.
+    told_all: Time,
     exited: bool,
 }
 
@@ -70,8 +75,10 @@
             clocks: FxHashMap::default(),
             latest: now,
             reconciled: now,
+            unreconciled: false,
             told_near: Told::default(),
             told_far: Told::default(),
+            told_all: Time(0),
             exited: false,
         }
     }
@@ -220,16 +227,22 @@
             listed: self.view.listed(),
             revision: self.view.revision().0,
         }));
-        self.reconcile(now, out);
+        // Changes of the view come in numbers, when many entries start or a data centre is cut
+        // off; each comparison takes time that grows with the executors.
+        match now.since(self.reconciled) >= TICK {
+            true => self.reconcile(now, out),
+            false => self.unreconciled = true,
+        }
     }
 
     fn reconcile(&mut self, now: Time, out: &mut Vec<Action>) {
         self.reconciled = now;
+        self.unreconciled = false;
         self.keeper.reconcile(now, &self.view, out);
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        if now.since(self.reconciled) >= RECONCILE_INTERVAL {
+        if self.unreconciled || now.since(self.reconciled) >= RECONCILE_INTERVAL {
             self.reconcile(now, out);
         }
         self.keeper.tick(now, &self.view, out);
@@ -325,10 +338,18 @@
             self.told_near = Told { report: report.clone(), at: now };
             out.extend(near.iter().map(|to| report_to(*to, &report)));
         }
-        if to_far {
-            self.told_far = Told { report: report.clone(), at: now };
-            out.extend(far.iter().map(|to| report_to(*to, &report)));
+        if !to_far {
+            return;
+        }
+        self.told_far = Told { report: report.clone(), at: now };
+        let everyone = urgent || now.since(self.told_all) >= self.options.refresh_all(peers.len());
+        if everyone {
+            self.told_all = now;
         }
+        // Keepers of this entry's tasks give them up when they hear nothing.
+        let needed = self.jobs.keepers();
+        let told = far.iter().filter(|to| everyone || needed.contains(*to));
+        out.extend(told.map(|to| report_to(*to, &report)));
     }
 }
 
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -13,7 +13,7 @@
     message::{End, Ended, Moved},
 };
 use job::{Open, State};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{Home, WaiterId},
     unit::{Span, Time},
@@ -51,6 +51,11 @@
         self.open.is_empty()
     }
 
+    /// Entries that have tasks of open jobs.
+    pub(crate) fn keepers(&self) -> FxHashSet<Home> {
+        self.open.values().flat_map(Open::placed).map(|(keeper, _)| keeper).collect()
+    }
+
     /// Takes a job in.
     pub(crate) fn submit(&mut self, now: Time, waiter: WaiterId, job: Job, out: &mut Vec<Action>) {
         self.next += 1;
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -7,9 +7,9 @@
     unit::{Span, Time},
 };
 
-/// A keeper's report is not believed for longer than this. Several times the interval at which
-/// reports are repeated.
-const REPORT_AGE: Span = Span::from_millis(1_000);
+/// A keeper's report is not believed for longer than this. Above the interval at which reports
+/// are repeated, 2 s among 500 entries; the end of a connection is noticed after 0.8 s.
+const REPORT_AGE: Span = Span::from_millis(4_000);
 
 /// The keepers that are connected.
 #[derive(Debug, Default)]
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -50,8 +50,12 @@
     pub queue_hold: Span,
     /// Least time between two reports of a keeper's room to the peers near it.
     pub report_interval: Span,
-    /// All other peers get a report, and those near it a repeated one, after this time.
+    /// Peers that have tasks of the entry get a report, and those near it a repeated one, after this
+    /// time.
     pub report_refresh: Span,
+    /// All other peers get a report after this time for each peer there is, so that their number
+    /// does not add to the reports that an entry sends. At 35 entries as often as `report_refresh`.
+    pub report_share: Span,
     /// Peers that hear of each change of a keeper's room. Each report costs both sides about 10
     /// us, so that reports of each change to all 34 peers took half of what an entry used.
     pub near_peers: usize,
@@ -71,6 +75,11 @@
 }
 
 impl Options {
+    /// After what time all of so many peers get a report.
+    pub(crate) fn refresh_all(&self, peers: usize) -> Span {
+        Span(self.report_share.0 * peers as u64)
+    }
+
     /// Whether an executor that this entry has kept for itself since a moment may be claimed.
     pub(crate) fn is_settled(&self, now: Time, since: Time, view: &View) -> bool {
         let waited = now.since(since);
@@ -99,6 +108,7 @@
             queue_hold: Span::from_millis(25),
             report_interval: Span::from_millis(15),
             report_refresh: Span::from_millis(150),
+            report_share: Span::from_millis(4),
             near_peers: 8,
             pause_limit: Span::from_millis(900),
             lapse_wait: Span::from_millis(1_250),
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -1,9 +1,10 @@
 //! Which entries there are, and which of them keeps an executor.
 
 use crate::Executor;
+use membership::{mesh, rendezvous};
 use rustc_hash::FxHashSet;
 use site::{
-    id::{EntryId, Home, Incarnation},
+    id::{DataCentreId, EntryId, Home, Incarnation},
     unit::Revision,
 };
 
@@ -20,6 +21,8 @@
 pub(crate) struct View {
     me: Home,
     listed: Vec<Home>,
+    /// Those of the listed entries that this one is to be connected to.
+    partners: Vec<Home>,
     linked: FxHashSet<Home>,
     leaving: FxHashSet<Home>,
     revision: Revision,
@@ -28,6 +31,22 @@
     joined: bool,
     /// Live entries that keep executors, sorted; what the above amounts to.
     keepers: Vec<Home>,
+    /// Among which of them executors are shared out.
+    shares: Shares,
+    /// The connected entries, the nearest first.
+    by_distance: Vec<Home>,
+}
+
+/// Among which entries executors are shared out. Entries here have no incarnation, so that a
+/// restart moves nothing.
+#[derive(Debug, Default)]
+struct Shares {
+    /// The keepers of the own data centre.
+    near: Vec<Home>,
+    /// All keepers, for executors of data centres without any.
+    all: Vec<Home>,
+    /// Data centres with keepers.
+    staffed: FxHashSet<DataCentreId>,
 }
 
 impl View {
@@ -35,11 +54,14 @@
         let mut view = Self {
             me,
             listed: Vec::new(),
+            partners: Vec::new(),
             linked: FxHashSet::default(),
             leaving: FxHashSet::default(),
             revision: Revision(0),
             joined: false,
             keepers: Vec::new(),
+            shares: Shares::default(),
+            by_distance: Vec::new(),
         };
         view.refresh();
         view
@@ -49,7 +71,10 @@
     pub(crate) fn list(&mut self, revision: Revision, members: Vec<Home>) -> bool {
         self.revision = self.revision.max(revision);
         self.joined |= members.contains(&self.me);
-        self.listed = members;
+        if members != self.listed {
+            self.partners = mesh::partners(self.me, &members);
+            self.listed = members;
+        }
         self.refresh()
     }
 
@@ -60,12 +85,14 @@
 
     pub(crate) fn connect(&mut self, peer: Home) -> bool {
         self.linked.insert(peer);
+        self.sort_linked();
         self.refresh()
     }
 
     pub(crate) fn disconnect(&mut self, peer: Home) -> bool {
         self.linked.remove(&peer);
         self.leaving.remove(&peer);
+        self.sort_linked();
         self.refresh()
     }
 
@@ -92,19 +119,24 @@
 
     /// The connected entries, the nearest first: those of the own data centre, then others in an
     /// order that differs from entry to entry.
-    pub(crate) fn by_distance(&self) -> Vec<Home> {
+    pub(crate) fn by_distance(&self) -> &[Home] {
+        &self.by_distance
+    }
+
+    fn sort_linked(&mut self) {
+        let me = self.me;
         let distance = |home: &Home| {
-            let far = home.data_centre != self.me.data_centre;
-            (far, home.entry.0.wrapping_sub(self.me.entry.0))
+            let far = home.data_centre != me.data_centre;
+            (far, home.entry.0.wrapping_sub(me.entry.0))
         };
         let mut linked: Vec<_> = self.linked().collect();
         linked.sort_unstable_by_key(distance);
-        linked
+        self.by_distance = linked;
     }
 
-    /// Whether all entries that the store lists are connected.
+    /// Whether all entries that the store lists are connected, as far as they are to be.
     pub(crate) fn is_connected(&self) -> bool {
-        self.listed.iter().all(|home| *home == self.me || self.linked.contains(home))
+        self.partners.iter().all(|home| self.linked.contains(home))
     }
 
     pub(crate) fn keepers(&self) -> &[Home] {
@@ -121,13 +153,13 @@
         if !self.joined {
             return false;
         }
-        let near = |home: &&Home| home.data_centre == executor.data_centre;
-        let stable = |home: &Home| Home { incarnation: Incarnation(0), ..*home };
-        let mut homes: Vec<Home> = self.keepers.iter().filter(near).map(stable).collect();
-        if homes.is_empty() {
-            homes = self.keepers.iter().map(stable).collect();
-        }
-        membership::rendezvous::keeper(&homes, executor.id) == Some(stable(&self.me))
+        let Shares { near, all, staffed } = &self.shares;
+        let homes = match executor.data_centre {
+            own if own == self.me.data_centre && staffed.contains(&own) => near,
+            other if staffed.contains(&other) => return false,
+            _ => all,
+        };
+        rendezvous::keeper(homes, executor.id) == Some(stable(&self.me))
     }
 
     /// A fencing token for an executor that this entry begins to keep. Higher than that of any
@@ -150,21 +182,34 @@
     fn refresh(&mut self) -> bool {
         let mut keepers = vec![self.me];
         keepers.extend(self.linked.iter().filter(|home| home.entry != self.me.entry));
-        for home in &self.listed {
-            if !has(&keepers, home.entry) {
-                keepers.push(*home);
-            }
-        }
+        let mut known: FxHashSet<EntryId> = keepers.iter().map(|home| home.entry).collect();
+        keepers.extend(self.listed.iter().filter(|home| known.insert(home.entry)));
         // Of two processes of one entry, the listed one is the newer unless it is unreachable.
-        keepers.sort_by_key(|home| (home.entry, !self.listed.contains(home), *home));
+        let listed: FxHashSet<Home> = self.listed.iter().copied().collect();
+        keepers.sort_unstable_by_key(|home| (home.entry, !listed.contains(home), *home));
         keepers.dedup_by_key(|home| home.entry);
         keepers.retain(|home| !self.leaving.contains(home));
         let changed = keepers != self.keepers;
-        self.keepers = keepers;
+        if changed {
+            self.shares = Shares::new(self.me.data_centre, &keepers);
+            self.keepers = keepers;
+        }
         changed
     }
 }
 
-fn has(homes: &[Home], entry: EntryId) -> bool {
-    homes.iter().any(|home| home.entry == entry)
+impl Shares {
+    fn new(own: DataCentreId, keepers: &[Home]) -> Self {
+        let all: Vec<Home> = keepers.iter().map(stable).collect();
+        Self {
+            near: all.iter().filter(|home| home.data_centre == own).copied().collect(),
+            staffed: all.iter().map(|home| home.data_centre).collect(),
+            all,
+        }
+    }
+}
+
+/// An entry without its incarnation.
+fn stable(home: &Home) -> Home {
+    Home { incarnation: Incarnation(0), ..*home }
 }
