--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -28,120 +28,101 @@
 /// Something that happens to the site.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Fault {
-    /// An entry is killed and started again.
-    #[display("entry {entry} is killed")]
-    Kill {
-        /// Which.
-        entry: usize,
-    },
-    /// An entry stands still.
-    #[display("entry {entry} stands still")]
-    Freeze {
-        /// Which.
-        entry: usize,
-    },
-    /// An entry is told to stop, and started again once it has.
-    #[display("entry {entry} is told to stop")]
-    Terminate {
-        /// Which.
-        entry: usize,
-    },
-    /// The callers' connections to an entry are reset.
-    #[display("callers' connections to entry {entry} are reset")]
-    ResetCallers {
-        /// Which.
-        entry: usize,
-    },
-    /// An entry and its peers can't reach each other.
-    #[display("entry {entry} is cut off from its peers")]
-    CutPeers {
-        /// Which.
-        entry: usize,
-    },
-    /// What its peers send to an entry over their connections is lost, and no answer of it.
-    #[display("entry {entry} does not hear its peers")]
-    DeafenPeers {
-        /// Which.
-        entry: usize,
-    },
-    /// What peers and an entry send to each other takes longer.
-    #[display("entry {entry} is far from its peers")]
-    SlowPeers {
-        /// Which.
-        entry: usize,
-    },
-    /// An entry can't reach the store.
-    #[display("entry {entry} is cut off from the store")]
-    CutStore {
-        /// Which.
-        entry: usize,
-    },
-    /// What an entry asks of the store is done, and not answered.
-    #[display("answers of the store to entry {entry} are held back")]
-    LoseStoreAnswers {
-        /// Which.
-        entry: usize,
-    },
-    /// The store refuses all calls.
-    #[display("the store is busy")]
-    StoreBusy,
-    /// The store does not answer.
-    #[display("the store is silent")]
-    StoreSilent,
-    /// The store forgets its history.
-    #[display("the store forgets its history")]
-    StoreForgets,
-    /// Orders to an executor are held back and come later.
-    #[display("orders to executor {executor} are held back")]
-    HoldOrders {
-        /// Which.
-        executor: usize,
-    },
-    /// An executor's answers are held back and come later.
-    #[display("answers of executor {executor} are held back")]
-    HoldAnswers {
-        /// Which.
-        executor: usize,
-    },
-    /// The connections to an executor are reset.
-    #[display("connections to executor {executor} are reset")]
-    ResetOrders {
-        /// Which.
-        executor: usize,
-    },
-    /// An executor neither acts nor answers.
-    #[display("executor {executor} is dark")]
-    Dark {
-        /// Which.
-        executor: usize,
-    },
-    /// An executor fails all that it starts.
-    #[display("executor {executor} fails everything")]
-    Fails {
-        /// Which.
-        executor: usize,
-    },
-    /// An executor takes several times as long.
-    #[display("executor {executor} is slow")]
-    Drags {
-        /// Which.
-        executor: usize,
-    },
+    /// To an entry or what stands around it.
+    #[display("entry {_0} {_1}")]
+    Entry(usize, EntryFault),
+    /// To an executor or what stands in front of it.
+    #[display("executor {_0} {_1}")]
+    Executor(usize, ExecutorFault),
+    /// To the store.
+    #[display("the store {_0}")]
+    Store(StoreFault),
     /// The operator writes another configuration.
     #[display("the configuration changes")]
     Configure,
-    /// An executor is to be emptied.
-    #[display("executor {executor} is to be emptied")]
-    Leave {
-        /// Which.
-        executor: usize,
-    },
+}
+
+/// What happens to an entry.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum EntryFault {
+    /// Its process is killed and another one started.
+    #[display("is killed")]
+    Kill,
+    /// Its process stands still.
+    #[display("stands still")]
+    Freeze,
+    /// Its process is told to stop, and another one started once it has.
+    #[display("is told to stop")]
+    Terminate,
+    /// The callers' connections are reset.
+    #[display("has its callers' connections reset")]
+    ResetCallers,
+    /// It and its peers can't reach each other.
+    #[display("is cut off from its peers")]
+    CutPeers,
+    /// What its peers send over their connections is lost, but none of its answers.
+    #[display("does not hear its peers")]
+    DeafenPeers,
+    /// What it and its peers send to each other takes longer.
+    #[display("is far from its peers")]
+    SlowPeers,
+    /// It can't reach the store.
+    #[display("is cut off from the store")]
+    CutStore,
+    /// What it asks of the store is done, and not answered.
+    #[display("gets no answers of the store")]
+    LoseStoreAnswers,
+}
+
+/// What happens to an executor.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum ExecutorFault {
+    /// Orders are held back and come later.
+    #[display("gets its orders late")]
+    HoldOrders,
+    /// Its answers are held back and come later.
+    #[display("has its answers held back")]
+    HoldAnswers,
+    /// The connections to it are reset.
+    #[display("has its connections reset")]
+    ResetOrders,
+    /// It neither acts nor answers.
+    #[display("is dark")]
+    Dark,
+    /// It fails all that it starts.
+    #[display("fails everything")]
+    Fail,
+    /// It takes several times as long.
+    #[display("is slow")]
+    Drag,
+    /// It is to be emptied.
+    #[display("is to be emptied")]
+    Leave,
+}
+
+/// What happens to the store.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum StoreFault {
+    /// It refuses all calls.
+    #[display("is busy")]
+    Busy,
+    /// It does not answer.
+    #[display("is silent")]
+    Silent,
+    /// It forgets its history.
+    #[display("forgets its history")]
+    Forget,
 }
 
 impl Fault {
     /// Whether it is planned work, which may cost no caller anything.
     pub fn is_planned(self) -> bool {
-        matches!(self, Fault::Terminate { .. } | Fault::Configure | Fault::Leave { .. })
+        matches!(
+            self,
+            Fault::Entry(_, EntryFault::Terminate)
+                | Fault::Executor(_, ExecutorFault::Leave)
+                | Fault::Configure
+        )
     }
 }
 
@@ -184,7 +165,7 @@
     // A third of the executors may leave, so that the others carry the load.
     let mut left = 0;
     steps.retain(|step| {
-        let leaves = matches!(step.fault, Fault::Leave { .. });
+        let leaves = matches!(step.fault, Fault::Executor(_, ExecutorFault::Leave));
         left += usize::from(leaves);
         !leaves || left <= size.executors / 3
     });
@@ -196,65 +177,70 @@
     let kind = draw(random, size, planned_only);
     for _ in 0..random.random_range(SERIES_LENGTH) {
         let lasts = Duration::from_millis(random.random_range(LASTS_MS));
-        let fault = retarget(kind, random, size);
+        let fault = aim(kind, Place::draw(random, size));
         steps.push(Step { at, lasts, fault });
         at += Duration::from_millis(random.random_range(SERIES_GAP_MS));
     }
 }
 
+/// Planned work.
+const PLANNED: [Fault; 3] = [
+    Fault::Entry(0, EntryFault::Terminate),
+    Fault::Configure,
+    Fault::Executor(0, ExecutorFault::Leave),
+];
+
+/// Everything else.
+const UNPLANNED: [Fault; 17] = [
+    Fault::Entry(0, EntryFault::Kill),
+    Fault::Entry(0, EntryFault::Freeze),
+    Fault::Entry(0, EntryFault::ResetCallers),
+    Fault::Entry(0, EntryFault::CutPeers),
+    Fault::Entry(0, EntryFault::DeafenPeers),
+    Fault::Entry(0, EntryFault::SlowPeers),
+    Fault::Entry(0, EntryFault::CutStore),
+    Fault::Entry(0, EntryFault::LoseStoreAnswers),
+    Fault::Store(StoreFault::Busy),
+    Fault::Store(StoreFault::Silent),
+    Fault::Store(StoreFault::Forget),
+    Fault::Executor(0, ExecutorFault::HoldOrders),
+    Fault::Executor(0, ExecutorFault::HoldAnswers),
+    Fault::Executor(0, ExecutorFault::ResetOrders),
+    Fault::Executor(0, ExecutorFault::Dark),
+    Fault::Executor(0, ExecutorFault::Fail),
+    Fault::Executor(0, ExecutorFault::Drag),
+];
+
+/// Where a fault strikes, if it strikes one of several.
+#[derive(Clone, Copy)]
+struct Place {
+    entry: usize,
+    executor: usize,
+}
+
+impl Place {
+    fn draw(random: &mut ChaCha8Rng, size: &Size) -> Self {
+        Self {
+            entry: random.random_range(0..size.entries),
+            executor: random.random_range(0..size.executors),
+        }
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, size: &Size, planned_only: bool) -> Fault {
-    let (entry, executor) = targets(random, size);
-    let planned = [Fault::Terminate { entry }, Fault::Configure, Fault::Leave { executor }];
-    let unplanned = [
-        Fault::Kill { entry },
-        Fault::Freeze { entry },
-        Fault::ResetCallers { entry },
-        Fault::CutPeers { entry },
-        Fault::DeafenPeers { entry },
-        Fault::SlowPeers { entry },
-        Fault::CutStore { entry },
-        Fault::LoseStoreAnswers { entry },
-        Fault::StoreBusy,
-        Fault::StoreSilent,
-        Fault::StoreForgets,
-        Fault::HoldOrders { executor },
-        Fault::HoldAnswers { executor },
-        Fault::ResetOrders { executor },
-        Fault::Dark { executor },
-        Fault::Fails { executor },
-        Fault::Drags { executor },
-    ];
+    let place = Place::draw(random, size);
     let kinds: Vec<Fault> = match planned_only {
-        true => planned.to_vec(),
-        false => planned.into_iter().chain(unplanned).collect(),
+        true => PLANNED.to_vec(),
+        false => PLANNED.into_iter().chain(UNPLANNED).collect(),
     };
-    *kinds.choose(random).unwrap_or(&Fault::Configure)
-}
-
-fn targets(random: &mut ChaCha8Rng, size: &Size) -> (usize, usize) {
-    (random.random_range(0..size.entries), random.random_range(0..size.executors))
+    aim(*kinds.choose(random).unwrap_or(&Fault::Configure), place)
 }
 
 /// The same fault elsewhere.
-fn retarget(fault: Fault, random: &mut ChaCha8Rng, size: &Size) -> Fault {
-    let (entry, executor) = targets(random, size);
+fn aim(fault: Fault, place: Place) -> Fault {
     match fault {
-        Fault::Kill { .. } => Fault::Kill { entry },
-        Fault::Freeze { .. } => Fault::Freeze { entry },
-        Fault::Terminate { .. } => Fault::Terminate { entry },
-        Fault::ResetCallers { .. } => Fault::ResetCallers { entry },
-        Fault::CutPeers { .. } => Fault::CutPeers { entry },
-        Fault::DeafenPeers { .. } => Fault::DeafenPeers { entry },
-        Fault::SlowPeers { .. } => Fault::SlowPeers { entry },
-        Fault::CutStore { .. } => Fault::CutStore { entry },
-        Fault::LoseStoreAnswers { .. } => Fault::LoseStoreAnswers { entry },
-        Fault::HoldOrders { .. } => Fault::HoldOrders { executor },
-        Fault::HoldAnswers { .. } => Fault::HoldAnswers { executor },
-        Fault::ResetOrders { .. } => Fault::ResetOrders { executor },
-        Fault::Dark { .. } => Fault::Dark { executor },
-        Fault::Fails { .. } => Fault::Fails { executor },
-        Fault::Drags { .. } => Fault::Drags { executor },
-        Fault::Leave { .. } => Fault::Leave { executor },
-        Fault::StoreBusy | Fault::StoreSilent | Fault::StoreForgets | Fault::Configure => fault,
+        Fault::Entry(_, what) => Fault::Entry(place.entry, what),
+        Fault::Executor(_, what) => Fault::Executor(place.executor, what),
+        Fault::Store(_) | Fault::Configure => fault,
     }
 }
--- a/soak/src/sabotage.rs
+++ b/soak/src/sabotage.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     Error, document,
-    plan::{Fault, Step},
+    plan::{EntryFault, ExecutorFault, Fault, Step},
     proxy::Proxy,
     site::Site,
 };
@@ -60,8 +60,8 @@
     /// What happens meanwhile: only planned work.
     pub fn steps(self) -> Vec<Step> {
         let fault = match self {
-            Sabotage::Cut => Fault::Terminate { entry: 0 },
-            Sabotage::Leaving => Fault::Leave { executor: 0 },
+            Sabotage::Cut => Fault::Entry(0, EntryFault::Terminate),
+            Sabotage::Leaving => Fault::Executor(0, ExecutorFault::Leave),
             _ => Fault::Configure,
         };
         vec![Step { at: Duration::ZERO, lasts: Duration::ZERO, fault }]
--- a/soak/src/strike.rs
+++ b/soak/src/strike.rs
@@ -3,12 +3,13 @@
 use crate::{
     Error, document,
     history::{History, Leaving, Stop},
-    plan::{Fault, Step},
-    proxy::{Mode, Way},
+    plan::{EntryFault, ExecutorFault, Fault, Step, StoreFault},
+    proxy::{self, Way},
     site::Site,
 };
+use ::site::unit::Span;
 use smol::{Timer, lock::MutexGuard};
-use standin::{kv, leased::Life};
+use standin::{kv::Mode, leased::Life};
 use std::{
     sync::{
         Arc,
@@ -47,16 +48,16 @@
 }
 
 /// Both directions silent.
-const CUT: Mode = Mode { there: Way::Silent, back: Way::Silent };
+const CUT: proxy::Mode = proxy::Mode { there: Way::Silent, back: Way::Silent };
 
 /// What is sent is heard, the answer is not.
-const ANSWERS_HELD: Mode = Mode { there: Way::Open, back: Way::Silent };
+const ANSWERS_HELD: proxy::Mode = proxy::Mode { there: Way::Open, back: Way::Silent };
 
 /// What is sent is not heard.
-const HELD: Mode = Mode { there: Way::Silent, back: Way::Open };
+const HELD: proxy::Mode = proxy::Mode { there: Way::Silent, back: Way::Open };
 
 /// Everything takes longer.
-const SLOW: Mode = Mode { there: Way::Slow(DELAY), back: Way::Slow(DELAY) };
+const SLOW: proxy::Mode = proxy::Mode { there: Way::Slow(DELAY), back: Way::Slow(DELAY) };
 
 impl Striker {
     /// Carries a step out, to its end.
@@ -70,39 +71,48 @@
             let until = now + step.lasts + START_TIME;
             self.history.note(|record| record.disturbed.push((now, until)));
         }
-        let site = &self.site;
         match step.fault {
-            Fault::Kill { entry } => self.kill(entry, step.lasts).await?,
-            Fault::Freeze { entry } => self.freeze(entry, step.lasts).await?,
-            Fault::Terminate { entry } => self.terminate(entry).await?,
-            Fault::ResetCallers { entry } => site.nodes[entry].callers.reset(),
-            Fault::CutPeers { entry } => self.peers(entry, CUT, step.lasts).await,
-            Fault::DeafenPeers { entry } => self.peers(entry, HELD, step.lasts).await,
-            Fault::SlowPeers { entry } => self.peers(entry, SLOW, step.lasts).await,
-            Fault::CutStore { entry } => self.store(entry, CUT, step.lasts).await,
-            Fault::LoseStoreAnswers { entry } => self.store(entry, ANSWERS_HELD, step.lasts).await,
-            Fault::StoreBusy => self.whole_store(kv::Mode::Busy, step.lasts).await,
-            Fault::StoreSilent => self.whole_store(kv::Mode::Silent, step.lasts).await,
-            Fault::StoreForgets => site.store.forget(),
-            Fault::HoldOrders { executor } => self.orders(executor, HELD, step.lasts).await,
-            Fault::HoldAnswers { executor } => {
-                self.orders(executor, ANSWERS_HELD, step.lasts).await;
-            }
-            Fault::ResetOrders { executor } => site.workers[executor].orders.reset(),
-            Fault::Dark { executor } => site.workers[executor].executor.change(|life, now| {
-                life.dark_until = now + site::unit::Span(step.lasts.as_micros() as u64);
+            Fault::Entry(entry, what) => self.entry(entry, what, step.lasts).await?,
+            Fault::Executor(executor, what) => self.executor(executor, what, step.lasts).await,
+            Fault::Store(what) => self.whole_store(what, step.lasts).await,
+            Fault::Configure => self.configure(),
+        }
+        Ok(())
+    }
+
+    async fn entry(&self, entry: usize, what: EntryFault, lasts: Duration) -> Result<(), Error> {
+        match what {
+            EntryFault::Kill => self.kill(entry, lasts).await?,
+            EntryFault::Freeze => self.freeze(entry, lasts).await?,
+            EntryFault::Terminate => self.terminate(entry).await?,
+            EntryFault::ResetCallers => self.site.nodes[entry].callers.reset(),
+            EntryFault::CutPeers => self.peers(entry, CUT, lasts).await,
+            EntryFault::DeafenPeers => self.peers(entry, HELD, lasts).await,
+            EntryFault::SlowPeers => self.peers(entry, SLOW, lasts).await,
+            EntryFault::CutStore => self.store(entry, CUT, lasts).await,
+            EntryFault::LoseStoreAnswers => self.store(entry, ANSWERS_HELD, lasts).await,
+        }
+        Ok(())
+    }
+
+    async fn executor(&self, index: usize, what: ExecutorFault, lasts: Duration) {
+        let worker = &self.site.workers[index];
+        match what {
+            ExecutorFault::HoldOrders => self.orders(index, HELD, lasts).await,
+            ExecutorFault::HoldAnswers => self.orders(index, ANSWERS_HELD, lasts).await,
+            ExecutorFault::ResetOrders => worker.orders.reset(),
+            ExecutorFault::Dark => worker.executor.change(|life, now| {
+                life.dark_until = now + Span(lasts.as_micros() as u64);
             }),
-            Fault::Fails { executor } => {
-                self.executor(executor, step.lasts, |life, fails| life.fails = fails).await;
+            ExecutorFault::Fail => {
+                self.misbehave(index, lasts, |life, fails| life.fails = fails).await;
             }
-            Fault::Drags { executor } => {
+            ExecutorFault::Drag => {
                 let drag = |life: &mut Life, drags| life.factor = if drags { DRAG } else { 1 };
-                self.executor(executor, step.lasts, drag).await;
+                self.misbehave(index, lasts, drag).await;
             }
-            Fault::Configure => self.configure(),
-            Fault::Leave { executor } => self.leave(executor),
+            ExecutorFault::Leave => self.leave(index),
         }
-        Ok(())
     }
 
     /// Writes the next configuration.
@@ -154,34 +164,40 @@
         self.site.nodes[entry].entry.lock().await
     }
 
-    async fn peers(&self, entry: usize, mode: Mode, lasts: Duration) {
+    async fn peers(&self, entry: usize, mode: proxy::Mode, lasts: Duration) {
         let relay = &self.site.nodes[entry].peers;
         relay.set(mode);
         Timer::after(lasts).await;
-        relay.set(Mode::default());
+        relay.set(proxy::Mode::default());
     }
 
-    async fn store(&self, entry: usize, mode: Mode, lasts: Duration) {
+    async fn store(&self, entry: usize, mode: proxy::Mode, lasts: Duration) {
         let proxy = &self.site.nodes[entry].store;
         proxy.set(mode);
         Timer::after(lasts).await;
-        proxy.set(Mode::default());
+        proxy.set(proxy::Mode::default());
     }
 
-    async fn orders(&self, executor: usize, mode: Mode, lasts: Duration) {
+    async fn orders(&self, executor: usize, mode: proxy::Mode, lasts: Duration) {
         let proxy = &self.site.workers[executor].orders;
         proxy.set(mode);
         Timer::after(lasts).await;
-        proxy.set(Mode::default());
+        proxy.set(proxy::Mode::default());
     }
 
-    async fn whole_store(&self, mode: kv::Mode, lasts: Duration) {
-        self.site.store.set_mode(mode);
+    async fn whole_store(&self, what: StoreFault, lasts: Duration) {
+        let store = &self.site.store;
+        let mode = match what {
+            StoreFault::Busy => Mode::Busy,
+            StoreFault::Silent => Mode::Silent,
+            StoreFault::Forget => return store.forget(),
+        };
+        store.set_mode(mode);
         Timer::after(lasts).await;
-        self.site.store.set_mode(kv::Mode::Up);
+        store.set_mode(Mode::Up);
     }
 
-    async fn executor(&self, index: usize, lasts: Duration, change: impl Fn(&mut Life, bool)) {
+    async fn misbehave(&self, index: usize, lasts: Duration, change: impl Fn(&mut Life, bool)) {
         let executor = &self.site.workers[index].executor;
         executor.change(|life, _| change(life, true));
         Timer::after(lasts).await;
