--- a/benches/real/role.rs
+++ b/benches/real/role.rs
@@ -97,7 +97,7 @@
         Executor::spawn(anywhere(), options, Ledger::default()).expect("a port is free")
     };
     let executors: Vec<_> = (0..count).map(start).collect();
-    serve(&executors.iter().map(Executor::address).collect::<Vec<_>>());
+    serve(&executors.iter().map(|executor| executor.address()).collect::<Vec<_>>());
 }
 
 fn hop(target: SocketAddr) {
--- a/components/standin/src/executor/mod.rs
+++ b/components/standin/src/executor/mod.rs
@@ -8,16 +8,16 @@
     ledger::Step,
     protocol,
     request::Request,
-    serve::{Answer, Attempt, Control, Listener, Node, serve},
+    serve::{Answer, Attempt, Control, Host, Node, serve},
 };
 use parking_lot::Mutex;
-
 use serde_json::{Value, json};
 use smol::Timer;
 use std::{
     collections::{HashMap, HashSet},
     io,
     net::SocketAddr,
+    ops::Deref,
     sync::Arc,
     time::Duration,
 };
@@ -49,9 +49,7 @@
 
 /// A running stand-in. Stops when it is dropped.
 pub struct Executor {
-    listener: Arc<Listener>,
-    control: Control,
-    node: Arc<Node>,
+    host: Host,
 }
 
 impl Executor {
@@ -71,49 +69,15 @@
             tasks: Mutex::default(),
         });
         let handler = move |conn: Conn| handle(Arc::clone(&state), conn);
-        let listener = Listener::spawn(address, Arc::clone(&node), connections, handler)?;
-        control.set_listener(&listener);
-        Ok(Executor { listener, control, node })
-    }
-
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.listener.address
-    }
-
-    /// Connections open now.
-    pub fn connections(&self) -> usize {
-        self.listener.connections()
-    }
-
-    /// What it ran and refused, and what other stand-ins did that share the ledger.
-    pub fn ledger(&self) -> &Ledger {
-        &self.node.ledger
-    }
-
-    /// Replaces all faults.
-    pub fn set_faults(&self, faults: Faults) {
-        self.control.set(faults);
-    }
-
-    /// Cuts all connections and stops to listen. Once it returns, connecting is refused.
-    pub async fn kill(&self) {
-        self.listener.kill().await;
+        Ok(Executor { host: Host::spawn(address, connections, node, control, handler)? })
     }
+}
 
-    /// Stops to accept requests, finishes those in progress, and waits until every connection is
-    /// closed.
-    pub async fn drain(&self) {
-        self.listener.drain().await;
-    }
+impl Deref for Executor {
+    type Target = Host;
 
-    /// Listens again on the same address.
-    ///
-    /// # Errors
-    ///
-    /// When the address can't be bound.
-    pub fn revive(&self) -> io::Result<()> {
-        self.listener.revive()
+    fn deref(&self) -> &Host {
+        &self.host
     }
 }
 
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -15,5 +15,5 @@
 pub use executor::Executor;
 pub use fault::Faults;
 pub use ledger::Ledger;
-pub use serve::Loopback;
+pub use serve::{Host, Loopback};
 pub use worker::Worker;
--- a/components/standin/src/worker/mod.rs
+++ b/components/standin/src/worker/mod.rs
@@ -8,12 +8,12 @@
 mod usage;
 
 use crate::{
-    Faults, Ledger,
-    serve::{Control, Listener, Node},
+    Ledger,
+    serve::{Control, Host, Node},
 };
 use parking_lot::Mutex;
 use site::unit::{Accelerators, Cores, Memory, Resources};
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, ops::Deref, sync::Arc, time::Duration};
 use trillium::Conn;
 
 /// What a worker offers.
@@ -62,9 +62,7 @@
 
 /// A running stand-in. Stops when it is dropped.
 pub struct Worker {
-    listener: Arc<Listener>,
-    control: Control,
-    node: Arc<Node>,
+    host: Host,
     _sampler: smol::Task<()>,
 }
 
@@ -95,48 +93,15 @@
         });
         let _sampler = smol::spawn(usage::sample(Arc::downgrade(&state)));
         let handler = move |conn: Conn| serve::handle(Arc::clone(&state), conn);
-        let listener = Listener::spawn(address, Arc::clone(&node), connections, handler)?;
-        control.set_listener(&listener);
-        Ok(Worker { listener, control, node, _sampler })
-    }
-
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.listener.address
-    }
-
-    /// Connections open now.
-    pub fn connections(&self) -> usize {
-        self.listener.connections()
-    }
-
-    /// What it ran and refused, and what other stand-ins did that share the ledger.
-    pub fn ledger(&self) -> &Ledger {
-        &self.node.ledger
-    }
-
-    /// Replaces all faults.
-    pub fn set_faults(&self, faults: Faults) {
-        self.control.set(faults);
-    }
-
-    /// Cuts all connections and stops to listen. Once it returns, connecting is refused.
-    pub async fn kill(&self) {
-        self.listener.kill().await;
+        let host = Host::spawn(address, connections, node, control, handler)?;
+        Ok(Worker { host, _sampler })
     }
+}
 
-    /// Stops to accept requests, finishes those in progress, and waits until every connection is
-    /// closed.
-    pub async fn drain(&self) {
-        self.listener.drain().await;
-    }
+impl Deref for Worker {
+    type Target = Host;
 
-    /// Listens again on the same address.
-    ///
-    /// # Errors
-    ///
-    /// When the address can't be bound.
-    pub fn revive(&self) -> io::Result<()> {
-        self.listener.revive()
+    fn deref(&self) -> &Host {
+        &self.host
     }
 }
