--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     document::{self, HOST, JOBS, PATIENCE_MS},
-    history::{History, Outcome},
+    history::{self, History, Outcome},
 };
 use endpoint::http::{Ask, Caller as Transport, Failed, Options, Reply};
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
@@ -73,8 +73,8 @@
         if left.is_zero() {
             return;
         }
-        let ask = ask(name, &body, left);
         let attempt = crowd.history.begin(name, tasks, entry);
+        let ask = ask(name, attempt, &body, left);
         let leaves_after = random.random_ratio(1, LEAVES).then(|| random.random_range(1..400));
         let leave = async {
             match leaves_after {
@@ -101,10 +101,10 @@
     }
 }
 
-fn ask(name: &str, body: &str, left: Duration) -> Ask {
+fn ask(name: &str, attempt: usize, body: &str, left: Duration) -> Ask {
     let headers = vec![
         ("Host", HOST.to_owned()),
-        ("Request-Id", name.to_owned()),
+        ("Request-Id", history::request(name, attempt)),
         ("X-Remaining-Milliseconds", left.as_millis().to_string()),
     ];
     let path = format!("{JOBS}{name}");
--- a/soak/src/check/jobs.rs
+++ b/soak/src/check/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs: answers are whole, true and in time.
 
 use super::{Broken, CONTACT, Evidence};
-use crate::history::{Attempt, Job, Outcome, Stop};
+use crate::history::{self, Attempt, Job, Outcome, Stop};
 use std::time::{Duration, Instant};
 
 /// Requests that are sent later than this after a planned stop began may be cut: callers had the
@@ -22,7 +22,8 @@
     let mut broken: Vec<Broken> = jobs
         .flat_map(|(name, job)| {
             let one = [refusal(evidence, name, job), completion(evidence, name, job)];
-            let attempts = job.attempts.iter().map(|at| attempt(evidence, name, at));
+            let attempts = job.attempts.iter().enumerate();
+            let attempts = attempts.map(|(index, at)| attempt(evidence, name, index, at));
             one.into_iter().chain(attempts).flatten().collect::<Vec<_>>()
         })
         .collect();
@@ -49,7 +50,7 @@
     Some(Broken::Partial { job: name.to_owned(), task })
 }
 
-fn attempt(evidence: &Evidence<'_>, name: &str, attempt: &Attempt) -> Option<Broken> {
+fn attempt(evidence: &Evidence<'_>, name: &str, index: usize, attempt: &Attempt) -> Option<Broken> {
     let (at, how) = attempt.end?;
     let (entry, job) = (attempt.entry, name.to_owned());
     match how {
@@ -57,7 +58,7 @@
         Outcome::Broken if evidence.record.is_calm(attempt.sent, at, CONTACT) => {
             let stop = stop(evidence, attempt, at)?;
             // An entry that closes an idle connection can't know of a request on its way.
-            if !evidence.read[entry].contains(name) {
+            if !evidence.read[entry].contains(&history::request(name, index)) {
                 return None;
             }
             let after = at.saturating_duration_since(stop.at);
--- a/soak/src/check/mod.rs
+++ b/soak/src/check/mod.rs
@@ -31,7 +31,7 @@
     pub healed: Instant,
     /// Names of the executors, by index.
     pub executors: &'a [String],
-    /// Jobs that each entry has read, by name.
+    /// Requests that each entry has read, by their ids.
     pub read: &'a [HashSet<String>],
     /// Runs that are there after everything has come to rest.
     pub left_over: &'a [String],
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -107,6 +107,11 @@
     pub unwanted: Vec<(String, Duration)>,
 }
 
+/// The caller's id of an attempt at a job.
+pub fn request(job: &str, attempt: usize) -> String {
+    format!("{job}.{attempt}")
+}
+
 impl History {
     /// Notes something.
     pub fn note(&self, note: impl FnOnce(&mut Record)) {
--- a/soak/src/sabotage.rs
+++ b/soak/src/sabotage.rs
@@ -83,7 +83,7 @@
     sabotage: Sabotage,
     caller: Arc<Caller>,
     executors: Vec<SocketAddr>,
-    /// Jobs that were read, by name.
+    /// Requests that were read, by their ids.
     read: Arc<Mutex<Vec<String>>>,
     /// What callers come through, so that their connections can be reset.
     proxy: Arc<OnceLock<Proxy>>,
@@ -107,7 +107,7 @@
         Ok(Rogue { address, read, _proxy: proxy, _server: server })
     }
 
-    /// Jobs that were read, by name.
+    /// Requests that were read, by their ids.
     pub fn read(&self) -> Vec<String> {
         self.read.lock().clone()
     }
@@ -124,7 +124,8 @@
         let name = conn.path().trim_start_matches(document::JOBS).to_owned();
         // A body that can't be read ends the connection anyway.
         let _ = conn.request_body_string().await;
-        self.read.lock().push(name.clone());
+        let request = conn.request_headers().get_str("Request-Id").unwrap_or_default();
+        self.read.lock().push(request.to_owned());
         match self.sabotage {
             Sabotage::Completion => conn.ok(r#"{"state":"completed"}"#),
             Sabotage::Refusal => {
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -128,7 +128,7 @@
         Ok(())
     }
 
-    /// Jobs that each entry has read, by name, as its log says.
+    /// Requests that each entry has read, by their ids, as its log says.
     ///
     /// # Errors
     ///
@@ -198,11 +198,11 @@
     }
 }
 
-/// The job that a line of a log says was taken in.
+/// The request that a line of a log says was taken in.
 fn admitted(line: &str) -> Option<String> {
     // Lines of other libraries need not be JSON.
     let line: Value = serde_json::from_str(line).ok()?;
-    (line["decision"] == "admit").then(|| line["job"].as_str().map(str::to_owned))?
+    (line["decision"] == "admit").then(|| line["request"].as_str().map(str::to_owned))?
 }
 
 fn data_centre(index: usize) -> &'static str {
