--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -38,7 +38,7 @@
 
 /// What all callers of a play share.
 #[derive(Debug)]
-pub struct Crowd {
+pub struct Shared {
     /// Where each entry is reached.
     pub entries: Vec<SocketAddr>,
     /// What is seen.
@@ -48,32 +48,32 @@
 }
 
 /// Hands jobs in until it is told to end. `number` tells callers apart.
-pub async fn run(crowd: Arc<Crowd>, seed: u64, number: u64) {
+pub async fn run(shared: Arc<Shared>, seed: u64, number: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ number << 32);
     let transport = Transport::new(1, Options::default());
     for job in 1.. {
         Timer::after(Duration::from_millis(random.random_range(0..PAUSE_MS))).await;
-        if crowd.stop.load(Ordering::Relaxed) {
+        if shared.stop.load(Ordering::Relaxed) {
             return;
         }
         let name = document::name(number << 32 | job);
-        hand_in(&crowd, &transport, &mut random, &name).await;
+        hand_in(&shared, &transport, &mut random, &name).await;
     }
 }
 
-async fn hand_in(crowd: &Crowd, transport: &Transport, random: &mut ChaCha8Rng, name: &str) {
+async fn hand_in(shared: &Shared, transport: &Transport, random: &mut ChaCha8Rng, name: &str) {
     let Ok(&(tasks, ms, _)) = KINDS.choose_weighted(random, |(_, _, weight)| *weight) else {
         return;
     };
     let body = document::job(u32::from(tasks), ms).to_string();
     let begun = Instant::now();
-    let mut entry = random.random_range(0..crowd.entries.len());
+    let mut entry = random.random_range(0..shared.entries.len());
     loop {
         let left = Duration::from_millis(PATIENCE_MS).saturating_sub(begun.elapsed());
         if left.is_zero() {
             return;
         }
-        let attempt = crowd.history.begin(name, tasks, entry);
+        let attempt = shared.history.begin(name, tasks, entry);
         let ask = ask(name, attempt, &body, left);
         let leaves_after = random.random_ratio(1, LEAVES).then(|| random.random_range(1..400));
         let leave = async {
@@ -83,9 +83,9 @@
             };
             None
         };
-        let answer = async { Some(transport.ask(crowd.entries[entry], ask).await) };
+        let answer = async { Some(transport.ask(shared.entries[entry], ask).await) };
         let outcome = answer.or(leave).await.map_or(Outcome::Left, outcome);
-        crowd.history.end(name, attempt, outcome);
+        shared.history.end(name, attempt, outcome);
         match outcome {
             Outcome::Unsent => drop(Timer::after(UNSENT_PAUSE).await),
             Outcome::Broken | Outcome::GivenUp | Outcome::Odd(_) => {
@@ -97,7 +97,8 @@
             | Outcome::TimedOut
             | Outcome::Left => return,
         }
-        entry = (entry + random.random_range(1..crowd.entries.len().max(2))) % crowd.entries.len();
+        entry =
+            (entry + random.random_range(1..shared.entries.len().max(2))) % shared.entries.len();
     }
 }
 
--- a/soak/src/check/jobs.rs
+++ b/soak/src/check/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs: answers are whole, true and in time.
 
-use super::{Broken, CONTACT, Evidence};
+use super::{CONTACT, Evidence, Violation};
 use crate::history::{self, Attempt, Job, Outcome, Stop};
 use std::time::{Duration, Instant};
 
@@ -17,9 +17,9 @@
 /// Jobs after the faults from which that is told.
 const RECOVERY_SAMPLE: usize = 10;
 
-pub(super) fn check(evidence: &Evidence<'_>) -> Vec<Broken> {
+pub(super) fn check(evidence: &Evidence<'_>) -> Vec<Violation> {
     let jobs = evidence.record.jobs.iter();
-    let mut broken: Vec<Broken> = jobs
+    let mut violations: Vec<Violation> = jobs
         .flat_map(|(name, job)| {
             let one = [refusal(evidence, name, job), completion(evidence, name, job)];
             let attempts = job.attempts.iter().enumerate();
@@ -27,34 +27,39 @@
             one.into_iter().chain(attempts).flatten().collect::<Vec<_>>()
         })
         .collect();
-    broken.extend(recovery(evidence));
-    broken
+    violations.extend(recovery(evidence));
+    violations
 }
 
 /// A job whose attempts were all refused, or never sent, has not run.
-fn refusal(evidence: &Evidence<'_>, name: &str, job: &Job) -> Option<Broken> {
+fn refusal(evidence: &Evidence<'_>, name: &str, job: &Job) -> Option<Violation> {
     let ends = || job.attempts.iter().filter_map(|attempt| attempt.end.map(|(_, how)| how));
     let refused = ends().any(|how| how == Outcome::Refused)
         && ends().all(|how| matches!(how, Outcome::Refused | Outcome::Unsent));
     let starts = evidence.twice.starts(name);
-    (refused && starts > 0).then(|| Broken::UntrueRefusal { job: name.to_owned(), starts })
+    (refused && starts > 0).then(|| Violation::UntrueRefusal { job: name.to_owned(), starts })
 }
 
 /// All tasks of a job that was answered as completed have ended well.
-fn completion(evidence: &Evidence<'_>, name: &str, job: &Job) -> Option<Broken> {
+fn completion(evidence: &Evidence<'_>, name: &str, job: &Job) -> Option<Violation> {
     let completed = |attempt: &Attempt| matches!(attempt.end, Some((_, Outcome::Completed)));
     if !job.attempts.iter().any(completed) {
         return None;
     }
     let task = (0..job.tasks).find(|index| !evidence.twice.is_done(name, *index))?;
-    Some(Broken::Partial { job: name.to_owned(), task })
+    Some(Violation::Partial { job: name.to_owned(), task })
 }
 
-fn attempt(evidence: &Evidence<'_>, name: &str, index: usize, attempt: &Attempt) -> Option<Broken> {
+fn attempt(
+    evidence: &Evidence<'_>,
+    name: &str,
+    index: usize,
+    attempt: &Attempt,
+) -> Option<Violation> {
     let (at, how) = attempt.end?;
     let (entry, job) = (attempt.entry, name.to_owned());
     match how {
-        Outcome::Odd(status) => Some(Broken::Odd { job, status }),
+        Outcome::Odd(status) => Some(Violation::Odd { job, status }),
         Outcome::Broken if evidence.record.is_calm(attempt.sent, at, CONTACT) => {
             let stop = stop(evidence, attempt, at)?;
             // An entry that closes an idle connection can't know of a request on its way.
@@ -62,10 +67,10 @@
                 return None;
             }
             let after = at.saturating_duration_since(stop.at);
-            Some(Broken::Cut { job, entry, after })
+            Some(Violation::Cut { job, entry, after })
         }
         Outcome::TimedOut if evidence.record.is_calm(attempt.sent, at, CONTACT) => {
-            Some(Broken::Unanswered { job, entry })
+            Some(Violation::Unanswered { job, entry })
         }
         _ => None,
     }
@@ -83,7 +88,7 @@
 }
 
 /// Jobs are served again after the faults.
-fn recovery(evidence: &Evidence<'_>) -> Option<Broken> {
+fn recovery(evidence: &Evidence<'_>) -> Option<Violation> {
     let came_after =
         |job: &&Job| job.attempts.first().is_some_and(|attempt| attempt.sent >= evidence.healed);
     let jobs: Vec<&Job> = evidence.record.jobs.values().filter(came_after).collect();
@@ -91,5 +96,5 @@
         |job: &&&Job| job.attempts.iter().any(|at| matches!(at.end, Some((_, Outcome::Completed))));
     let (asked, served) = (jobs.len(), jobs.iter().filter(completed).count());
     (asked >= RECOVERY_SAMPLE && served * RECOVERED < asked)
-        .then_some(Broken::NoRecovery { asked, served })
+        .then_some(Violation::NoRecovery { asked, served })
 }
--- a/soak/src/check/mod.rs
+++ b/soak/src/check/mod.rs
@@ -1,11 +1,11 @@
 //! The promises, checked against what was seen from outside.
 
-mod broken;
 mod configuration;
 mod jobs;
 mod leaving;
+mod violation;
 
-pub use broken::Broken;
+pub use violation::Violation;
 
 use crate::history::Record;
 use standin::leased::Twice;
@@ -37,15 +37,17 @@
     pub left_over: &'a [String],
 }
 
-/// All that was broken.
-pub fn check(evidence: &Evidence<'_>) -> Vec<Broken> {
-    let mut broken: Vec<Broken> =
-        evidence.twice.broken().into_iter().map(|runs| Broken::Twice { runs }).collect();
-    broken.extend(jobs::check(evidence));
-    broken.extend(configuration::check(evidence));
-    broken.extend(leaving::check(evidence));
+/// Promises that were not kept.
+pub fn check(evidence: &Evidence<'_>) -> Vec<Violation> {
+    let mut violations: Vec<Violation> =
+        evidence.twice.broken().into_iter().map(|runs| Violation::Twice { runs }).collect();
+    violations.extend(jobs::check(evidence));
+    violations.extend(configuration::check(evidence));
+    violations.extend(leaving::check(evidence));
     let unwanted = evidence.record.unwanted.iter();
-    broken.extend(unwanted.map(|(run, span)| Broken::Unwanted { run: run.clone(), span: *span }));
-    broken.extend(evidence.left_over.iter().map(|run| Broken::LeftOver { run: run.clone() }));
-    broken
+    violations
+        .extend(unwanted.map(|(run, span)| Violation::Unwanted { run: run.clone(), span: *span }));
+    violations
+        .extend(evidence.left_over.iter().map(|run| Violation::LeftOver { run: run.clone() }));
+    violations
 }
--- a/soak/src/check/broken.rs
+++ b/soak/src/check/violation.rs
@@ -1,11 +1,11 @@
-//! Promises that were broken.
+//! Promises that were not kept.
 
 use derive_more::Display;
 use std::time::Duration;
 
-/// A promise that was broken.
+/// A promise that was not kept.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
-pub enum Broken {
+pub enum Violation {
     /// A task ran at two executors at a time.
     #[display("a task ran twice at a time: {runs}")]
     Twice {
@@ -110,23 +110,23 @@
     },
 }
 
-impl Broken {
+impl Violation {
     /// Whether the promise says by when something has to be so. Such a one can be judged only where
     /// the play's own processes get the processor when they need it.
     pub fn is_timed(&self) -> bool {
         match self {
-            Broken::Twice { .. }
-            | Broken::UntrueRefusal { .. }
-            | Broken::Partial { .. }
-            | Broken::Odd { .. }
-            | Broken::Back { .. }
-            | Broken::LeftOver { .. } => false,
-            Broken::Cut { .. }
-            | Broken::Unanswered { .. }
-            | Broken::Leaving { .. }
-            | Broken::Late { .. }
-            | Broken::Unwanted { .. }
-            | Broken::NoRecovery { .. } => true,
+            Violation::Twice { .. }
+            | Violation::UntrueRefusal { .. }
+            | Violation::Partial { .. }
+            | Violation::Odd { .. }
+            | Violation::Back { .. }
+            | Violation::LeftOver { .. } => false,
+            Violation::Cut { .. }
+            | Violation::Unanswered { .. }
+            | Violation::Leaving { .. }
+            | Violation::Late { .. }
+            | Violation::Unwanted { .. }
+            | Violation::NoRecovery { .. } => true,
         }
     }
 }
--- a/soak/src/strike.rs
+++ b/soak/src/inject.rs
@@ -38,7 +38,7 @@
 
 /// Carries steps out on a site.
 #[derive(Debug)]
-pub struct Striker {
+pub struct Injector {
     /// The site.
     pub site: Arc<Site>,
     /// What is seen.
@@ -59,13 +59,13 @@
 /// Everything takes longer.
 const SLOW: proxy::Mode = proxy::Mode { there: Way::Slow(DELAY), back: Way::Slow(DELAY) };
 
-impl Striker {
+impl Injector {
     /// Carries a step out, to its end.
     ///
     /// # Errors
     ///
     /// When a process can't be signalled or started.
-    pub async fn strike(&self, step: Step) -> Result<(), Error> {
+    pub async fn inject(&self, step: Step) -> Result<(), Error> {
         if !step.fault.is_planned() {
             let now = Instant::now();
             let until = now + step.lasts + START_TIME;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,13 +10,13 @@
 pub mod document;
 pub mod entry;
 pub mod history;
+pub mod inject;
 pub mod plan;
 pub mod play;
 pub mod proxy;
 pub mod relay;
 pub mod sabotage;
 pub mod site;
-pub mod strike;
 pub mod watch;
 
 mod error;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -95,17 +95,17 @@
         .collect();
     let mut kept = true;
     for play in plays {
-        kept &= play.await?.broken.is_empty();
+        kept &= play.await?.violations.is_empty();
     }
     Ok(kept)
 }
 
 fn print(verdict: &Verdict) {
     println!("{verdict}");
-    if verdict.broken.is_empty() {
+    if verdict.violations.is_empty() {
         return;
     }
-    verdict.broken.iter().for_each(|broken| println!("  BROKEN {broken}"));
+    verdict.violations.iter().for_each(|violation| println!("  BROKEN {violation}"));
     verdict.steps.iter().for_each(|step| println!("  {step}"));
     if let Some(logs) = &verdict.logs {
         println!("  logs: {}", logs.display());
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -211,7 +211,7 @@
     Fault::Executor(0, ExecutorFault::Drag),
 ];
 
-/// Where a fault strikes, if it strikes one of several.
+/// Which entry and executor a fault concerns.
 #[derive(Clone, Copy)]
 struct Place {
     entry: usize,
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     Error,
-    caller::{self, Crowd},
-    check::{self, Broken, Evidence},
+    caller::{self, Shared},
+    check::{self, Evidence, Violation},
     history::{History, Outcome, Record},
+    inject::Injector,
     plan::{self, Size, Step},
     sabotage::{Rogue, Sabotage},
     site::Site,
-    strike::Striker,
     watch,
 };
 use derive_more::Display;
@@ -41,7 +41,7 @@
 #[display(
     "seed {seed}: {} jobs, {completed} completed, {refused} refused, {given_up} given up, {broke} broke off; \
      {} steps, {} broken",
-    jobs, steps.len(), broken.len()
+    jobs, steps.len(), violations.len()
 )]
 pub struct Verdict {
     /// The seed.
@@ -58,9 +58,9 @@
     pub broke: usize,
     /// The faults.
     pub steps: Vec<Step>,
-    /// The promises that were broken.
-    pub broken: Vec<Broken>,
-    /// Where the logs are, if any was broken.
+    /// The promises that were not kept.
+    pub violations: Vec<Violation>,
+    /// Where the logs are, if any was not kept.
     pub logs: Option<PathBuf>,
 }
 
@@ -79,7 +79,7 @@
     let verdict = play_at(&site, seed, size, sabotage).await;
     site.end().await?;
     let verdict = verdict?;
-    if verdict.broken.is_empty() {
+    if verdict.violations.is_empty() {
         site.clear()?;
     }
     Ok(verdict)
@@ -94,7 +94,7 @@
     let steps = sabotage.map_or_else(|| plan::plan(seed, size), Sabotage::steps);
     let history = Arc::new(History::default());
     let version = AtomicU64::new(1);
-    let striker = Arc::new(Striker { site: site.clone(), history: history.clone(), version });
+    let injector = Arc::new(Injector { site: site.clone(), history: history.clone(), version });
     let mut entries: Vec<_> = site.nodes.iter().map(|node| node.callers.address).collect();
     let rogue = match sabotage {
         Some(sabotage) => Some(Rogue::start(sabotage, site).await?),
@@ -104,19 +104,19 @@
         entries[0] = rogue.address;
     }
     let stop = AtomicBool::new(false);
-    let crowd = Arc::new(Crowd { entries, history: history.clone(), stop });
+    let shared = Arc::new(Shared { entries, history: history.clone(), stop });
     let callers: Vec<Task<()>> = (0..size.callers as u64)
-        .map(|number| smol::spawn(caller::run(crowd.clone(), seed, number + 1)))
+        .map(|number| smol::spawn(caller::run(shared.clone(), seed, number + 1)))
         .collect();
     let mut watching = vec![smol::spawn(watch::runs(site.clone(), history.clone()))];
-    for (entry, address) in crowd.entries.iter().enumerate() {
-        watching.push(smol::spawn(watch::configuration(striker.clone(), entry, *address)));
+    for (entry, address) in shared.entries.iter().enumerate() {
+        watching.push(smol::spawn(watch::configuration(injector.clone(), entry, *address)));
     }
     Timer::after(WARM_UP).await;
-    strike(&striker, &steps).await?;
+    inject(&injector, &steps).await?;
     let healed = Instant::now() + HEALING;
     Timer::at(healed + CALM).await;
-    crowd.stop.store(true, Ordering::Relaxed);
+    shared.stop.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await;
     }
@@ -127,31 +127,36 @@
     if let Some(rogue) = &rogue {
         read[0].extend(rogue.read());
     }
-    let broken = judge(site, &record, healed, &read);
-    let logs = (!broken.is_empty()).then(|| site.folder().to_owned());
-    Ok(verdict(seed, &record, steps, broken, logs))
+    let violations = judge(site, &record, healed, &read);
+    let logs = (!violations.is_empty()).then(|| site.folder().to_owned());
+    Ok(verdict(seed, &record, steps, violations, logs))
 }
 
 /// Carries all steps out, each at its moment, and waits until all are over.
-async fn strike(striker: &Arc<Striker>, steps: &[Step]) -> Result<(), Error> {
+async fn inject(injector: &Arc<Injector>, steps: &[Step]) -> Result<(), Error> {
     let begun = Instant::now();
-    let strikes: Vec<_> = steps
+    let injections: Vec<_> = steps
         .iter()
         .map(|step| {
-            let (striker, step) = (striker.clone(), *step);
+            let (injector, step) = (injector.clone(), *step);
             smol::spawn(async move {
                 Timer::at(begun + step.at).await;
-                striker.strike(step).await
+                injector.inject(step).await
             })
         })
         .collect();
-    for strike in strikes {
-        strike.await?;
+    for injection in injections {
+        injection.await?;
     }
     Ok(())
 }
 
-fn judge(site: &Site, record: &Record, healed: Instant, read: &[HashSet<String>]) -> Vec<Broken> {
+fn judge(
+    site: &Site,
+    record: &Record,
+    healed: Instant,
+    read: &[HashSet<String>],
+) -> Vec<Violation> {
     let workers = site.workers.iter();
     let executors: Vec<_> = workers.clone().map(|worker| worker.executor.name.clone()).collect();
     let left_over: Vec<_> =
@@ -171,7 +176,7 @@
     seed: u64,
     record: &Record,
     steps: Vec<Step>,
-    broken: Vec<Broken>,
+    violations: Vec<Violation>,
     logs: Option<PathBuf>,
 ) -> Verdict {
     let ends = || {
@@ -187,7 +192,7 @@
         given_up: count(|how| matches!(how, Outcome::GivenUp | Outcome::Failed)),
         broke: count(|how| matches!(how, Outcome::Broken | Outcome::TimedOut)),
         steps,
-        broken,
+        violations,
         logs,
     }
 }
--- a/soak/src/watch.rs
+++ b/soak/src/watch.rs
@@ -4,8 +4,8 @@
     caller::RESEND,
     document::{self, HOST},
     history::{History, Seen},
+    inject::Injector,
     site::Site,
-    strike::Striker,
 };
 use endpoint::http::{Ask, Caller, Options};
 use smol::Timer;
@@ -30,28 +30,28 @@
 const UNWANTED_MOST: Duration = RESEND.saturating_add(Duration::from_millis(50));
 
 /// Asks an entry for its configuration at the address where callers reach it, for good.
-pub async fn configuration(striker: Arc<Striker>, entry: usize, address: SocketAddr) {
+pub async fn configuration(injector: Arc<Injector>, entry: usize, address: SocketAddr) {
     let caller = Caller::new(1, Options::default());
     loop {
         Timer::after(ASK_INTERVAL).await;
-        let Some(boot) = boot(&striker, entry) else { continue };
+        let Some(boot) = boot(&injector, entry) else { continue };
         let asked = Instant::now();
-        let Some(version) = version(&striker, &caller, address).await else { continue };
-        if self::boot(&striker, entry) == Some(boot) {
+        let Some(version) = version(&injector, &caller, address).await else { continue };
+        if self::boot(&injector, entry) == Some(boot) {
             let seen = Seen { entry, boot, asked, version };
-            striker.history.note(|record| record.seen.push(seen));
+            injector.history.note(|record| record.seen.push(seen));
         }
     }
 }
 
 /// The number of an entry's process; `None` while a fault has hold of it.
-fn boot(striker: &Striker, entry: usize) -> Option<u32> {
-    striker.site.nodes[entry].entry.try_lock().map(|process| process.boot)
+fn boot(injector: &Injector, entry: usize) -> Option<u32> {
+    injector.site.nodes[entry].entry.try_lock().map(|process| process.boot)
 }
 
 /// The version that an entry has in force: the only one whose marker it knows.
-async fn version(striker: &Striker, caller: &Caller, address: SocketAddr) -> Option<u64> {
-    for version in (1..=striker.version.load(Ordering::Relaxed)).rev() {
+async fn version(injector: &Injector, caller: &Caller, address: SocketAddr) -> Option<u64> {
+    for version in (1..=injector.version.load(Ordering::Relaxed)).rev() {
         let reply = caller.ask(address, ask(version)).await.ok()?;
         if reply.status == 200 {
             return Some(version);
