--- a/soak/src/entry.rs
+++ b/soak/src/entry.rs
@@ -196,7 +196,9 @@
     let log = fs::OpenOptions::new().create(true).append(true).open(log_path(settings))?;
     let mut command = Command::new(program);
     let errors = log.try_clone()?;
-    command.arg("--settings").arg(settings).stdout(log).stderr(errors).stdin(Stdio::null());
+    // The threads of the soak are not those of an entry.
+    command.env_remove("SMOL_THREADS").arg("--settings").arg(settings);
+    command.stdin(Stdio::null()).stdout(log).stderr(errors);
     ports::spawn(&mut command)
 }
 
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -28,8 +28,11 @@
 };
 use trillium_client::Method;
 
-/// Longest wait until all entries are ready.
-const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Longest wait until all entries are ready. No promise: a busy machine starts them slowly.
+const READY_LIMIT: Duration = Duration::from_secs(60);
+
+/// How long an entry may take to say whether it is.
+const READY_ANSWER: Duration = Duration::from_secs(2);
 
 /// How often that is asked.
 const READY_POLL: Duration = Duration::from_millis(20);
@@ -215,7 +218,7 @@
         path: "/-/readiness".to_owned(),
         headers: Vec::new(),
         body: Vec::new().into(),
-        time_limit: READY_LIMIT,
+        time_limit: READY_ANSWER,
     };
     caller.ask(address, ask).await.is_ok_and(|reply| reply.status == 200)
 }
