--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -66,20 +66,26 @@
     ///
     /// When a process can't be signalled or started.
     pub async fn inject(&self, step: Step) -> Result<(), Error> {
-        if !step.fault.is_planned() {
-            let now = Instant::now();
-            let until = now + step.lasts + START_TIME;
-            self.history.note(|record| record.disturbed.push((now, until)));
-        }
+        let begun = Instant::now();
+        self.disturb(step.fault, begun, begun + step.lasts);
         match step.fault {
             Fault::Entry(entry, what) => self.entry(entry, what, step.lasts).await?,
             Fault::Executor(executor, what) => self.executor(executor, what, step.lasts).await,
             Fault::Store(what) => self.whole_store(what, step.lasts).await,
             Fault::Configure => self.configure(),
         }
+        // A fault waits for another one that has hold of the same process.
+        self.disturb(step.fault, begun, Instant::now());
         Ok(())
     }
 
+    /// Notes when a fault was there that nobody planned.
+    fn disturb(&self, fault: Fault, from: Instant, until: Instant) {
+        if !fault.is_planned() {
+            self.history.note(|record| record.disturbed.push((from, until + START_TIME)));
+        }
+    }
+
     async fn entry(&self, entry: usize, what: EntryFault, lasts: Duration) -> Result<(), Error> {
         match what {
             EntryFault::Kill => self.kill(entry, lasts).await?,
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -15,6 +15,7 @@
 use smol::{Task, Timer};
 use std::{
     collections::HashSet,
+    iter,
     path::{Path, PathBuf},
     sync::{
         Arc,
@@ -105,13 +106,8 @@
     }
     let stop = AtomicBool::new(false);
     let shared = Arc::new(Shared { entries, history: history.clone(), stop });
-    let callers: Vec<Task<()>> = (0..size.callers as u64)
-        .map(|number| smol::spawn(caller::run(shared.clone(), seed, number + 1)))
-        .collect();
-    let mut watching = vec![smol::spawn(watch::runs(site.clone(), history.clone()))];
-    for (entry, address) in shared.entries.iter().enumerate() {
-        watching.push(smol::spawn(watch::configuration(injector.clone(), entry, *address)));
-    }
+    let callers = call(&shared, seed, size);
+    let watching = watch(&injector, &shared);
     Timer::after(WARM_UP).await;
     inject(&injector, &steps).await?;
     let healed = Instant::now() + HEALING;
@@ -132,6 +128,22 @@
     Ok(verdict(seed, &record, steps, violations, logs))
 }
 
+/// Lets all callers begin.
+fn call(shared: &Arc<Shared>, seed: u64, size: &Size) -> Vec<Task<()>> {
+    let numbers = 1..=size.callers as u64;
+    numbers.map(|number| smol::spawn(caller::run(shared.clone(), seed, number))).collect()
+}
+
+/// Begins to watch, until the tasks are dropped.
+fn watch(injector: &Arc<Injector>, shared: &Shared) -> Vec<Task<()>> {
+    let runs = watch::runs(injector.site.clone(), injector.history.clone());
+    let entries = shared.entries.iter().enumerate();
+    let configuration = entries.map(|(entry, address)| {
+        smol::spawn(watch::configuration(injector.clone(), entry, *address))
+    });
+    iter::once(smol::spawn(runs)).chain(configuration).collect()
+}
+
 /// Carries all steps out, each at its moment, and waits until all are over.
 async fn inject(injector: &Arc<Injector>, steps: &[Step]) -> Result<(), Error> {
     let begun = Instant::now();
