--- a/components/membership/src/mesh.rs
+++ b/components/membership/src/mesh.rs
@@ -3,8 +3,8 @@
 use site::id::{DataCentreId, Home};
 use std::collections::BTreeMap;
 
-/// Up to so many entries, each is connected to every other one. A connection costs both ends about
-/// 5 ms of processor time to make, so that all of an entry's take a quarter of a second then.
+/// Up to so many entries, each is connected to every other one. A connection takes 4.4 ms to make at
+/// a quarter of a core, so that all of an entry's take a fifth of a second then.
 pub const FULL_MESH: usize = 48;
 
 /// Connections that each entry of the larger of two data centres has to the other one, in a site
