--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -26,6 +26,9 @@
     /// How many seeds, one after the other.
     #[arg(long, default_value_t = 1)]
     seeds: u64,
+    /// Play the seeds that ever failed, which are kept in `soak/seeds.txt`.
+    #[arg(long, conflicts_with_all = ["seed", "seeds"])]
+    kept: bool,
     /// How many are played at a time.
     #[arg(long, default_value_t = 1)]
     jobs: usize,
@@ -49,6 +52,9 @@
     plan: bool,
 }
 
+/// Seeds that ever failed, and why.
+const KEPT: &str = include_str!("../seeds.txt");
+
 const BROKEN: u8 = 1;
 const NOT_PLAYED: u8 = 3;
 
@@ -72,8 +78,10 @@
         callers: args.callers,
         faults_for: Duration::from_secs(args.seconds.max(1)),
     };
-    let first = args.seed.unwrap_or_else(|| u64::from(rand::random::<u32>()));
-    let seeds = first..first + args.seeds;
+    let seeds = match args.kept {
+        true => kept().collect(),
+        false => drawn(args.seed, args.seeds),
+    };
     if args.plan {
         for seed in seeds {
             println!("seed {seed}");
@@ -84,6 +92,7 @@
     let node = program(args.node)?;
     let places = Arc::new(Semaphore::new(args.jobs.max(1)));
     let plays: Vec<_> = seeds
+        .into_iter()
         .map(|seed| {
             let (node, places, sabotage) = (node.clone(), places.clone(), args.sabotage);
             smol::spawn(async move {
@@ -100,6 +109,17 @@
     Ok(kept)
 }
 
+/// The seeds that ever failed; each stands at the beginning of a line.
+fn kept() -> impl Iterator<Item = u64> {
+    KEPT.lines().filter_map(|line| line.split_whitespace().next()?.parse().ok())
+}
+
+/// Seeds one after the other.
+fn drawn(first: Option<u64>, count: u64) -> Vec<u64> {
+    let first = first.unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    (first..first + count).collect()
+}
+
 fn print(verdict: &Verdict) {
     println!("{verdict}");
     if verdict.violations.is_empty() {
