--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -138,7 +138,11 @@
             Event::Message { from, message } => self.message(now, from, message, out),
             Event::PeerUp { peer } => self.peer_up(now, peer, out),
             Event::PeerDown { peer } => self.peer_down(now, peer, out),
-            Event::Configured { version } => self.configuration = version,
+            Event::Configured { version, services } => {
+                self.configuration = version;
+                self.keeper.set_services(services);
+                self.reconcile(now, out);
+            }
             Event::Drain => {
                 let changed = self.view.set_leaving(self.me, true);
                 self.view_changed(now, changed, out);
--- a/components/runs/src/event.rs
+++ b/components/runs/src/event.rs
@@ -6,7 +6,7 @@
     job::Run,
 };
 use site::{
-    id::{EndpointId, Home, WaiterId},
+    id::{EndpointId, Home, ServiceId, WaiterId},
     unit::Revision,
 };
 
@@ -82,6 +82,8 @@
     Configured {
         /// Its version.
         version: u64,
+        /// The services that it sends jobs to.
+        services: Vec<ServiceId>,
     },
     /// Stop: keep no executor any more and finish what is open, then [`crate::Action::Exit`].
     Drain,
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -17,9 +17,9 @@
     view::View,
 };
 use health::Monitor;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
-    id::{EndpointId, Home},
+    id::{EndpointId, Home, ServiceId},
     unit::{Resources, Span, Time},
 };
 
@@ -32,6 +32,9 @@
     options: Options,
     /// Every executor that the platform lists.
     known: FxHashMap<EndpointId, Executor>,
+    /// The services that jobs are sent to; `None` until the configuration is known. Executors of
+    /// others, which anybody may register, are left alone.
+    services: Option<FxHashSet<ServiceId>>,
     leases: FxHashMap<EndpointId, Lease>,
     queue: Queue,
     health: Monitor,
@@ -48,6 +51,7 @@
         Self {
             options,
             known: FxHashMap::default(),
+            services: None,
             leases: FxHashMap::default(),
             queue: Queue::default(),
             health: Monitor::new(),
@@ -64,8 +68,11 @@
 
     /// What may be sent here now.
     pub(crate) fn room(&self, now: Time) -> Room {
-        let usable =
-            |lease: &&Lease| lease.is_usable(now) && self.health.is_open(lease.executor.id);
+        let usable = |lease: &&Lease| {
+            lease.is_usable(now)
+                && self.is_named(lease.executor.service)
+                && self.health.is_open(lease.executor.id)
+        };
         let usable: Vec<_> = self.leases.values().filter(usable).collect();
         if usable.is_empty() {
             return Room::default();
@@ -126,18 +133,33 @@
         }
     }
 
+    /// Takes in which services jobs are sent to.
+    pub(crate) fn set_services(&mut self, services: Vec<ServiceId>) {
+        self.services = Some(services.into_iter().collect());
+    }
+
+    fn is_named(&self, service: ServiceId) -> bool {
+        self.services.as_ref().is_none_or(|services| services.contains(&service))
+    }
+
+    fn is_wanted(&self, view: &View, executor: &Executor) -> bool {
+        self.is_named(executor.service) && view.keeps(executor)
+    }
+
     /// Begins to keep what the view says, and forgets what is gone.
     pub(crate) fn reconcile(&mut self, now: Time, view: &View, out: &mut Vec<Action>) {
-        for executor in self.known.values() {
-            if !self.leases.contains_key(&executor.id) && view.keeps(executor) {
-                let phase = Phase::Settling { since: now };
-                self.leases.insert(executor.id, Lease::new(executor.clone(), phase));
-                self.health.insert(executor.id);
-            }
+        let is_new = |executor: &&Executor| {
+            !self.leases.contains_key(&executor.id) && self.is_wanted(view, executor)
+        };
+        let new: Vec<_> = self.known.values().filter(is_new).cloned().collect();
+        for executor in new {
+            let phase = Phase::Settling { since: now };
+            self.health.insert(executor.id);
+            self.leases.insert(executor.id, Lease::new(executor, phase));
         }
         let is_over = |lease: &Lease| {
             let unused = !matches!(lease.phase, Phase::Ready | Phase::Looking);
-            let unwanted = unused && !view.keeps(&lease.executor);
+            let unwanted = unused && !self.is_wanted(view, &lease.executor);
             let gone = !self.known.contains_key(&lease.executor.id) && lease.runs.is_empty();
             unwanted || gone
         };
