--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -1,10 +1,12 @@
 //! Limits of an entry's logic.
 
 use crate::view::View;
+use serde::{Deserialize, Serialize};
 use site::unit::{Span, Time};
 
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Options {
     /// How long a lease lasts, by the executor's clock. With `peer_silence` and a clock that is 2%
     /// slow it has to be below the time after which callers hand a job in again elsewhere,
--- a/components/runs/tests/common/mod.rs
+++ b/components/runs/tests/common/mod.rs
@@ -1,8 +1,5 @@
-//! Entries, executors and callers in virtual time.
+//! Small things for tests that hand events to single entries.
 
-#![allow(dead_code, unused_imports, reason = "each test uses a part of it")]
+#![allow(dead_code, reason = "each test uses a part of it")]
 
 pub(crate) mod fixture;
-pub(crate) mod world;
-
-pub(crate) use world::{Fault, Plan, World};
--- a/components/runs/tests/days.rs
+++ b/components/runs/tests/days.rs
@@ -1,8 +1,6 @@
 //! Days of a small site with faults, alone and mixed, checked at every moment.
 
-mod common;
-
-use common::{Fault, Plan, World};
+use lab::world::{Fault, Plan, World};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -13,8 +11,9 @@
         executors: 16,
         rate: 15,
         seconds: 10,
-        lost_orders: None,
         faults,
+        trace: true,
+        ..Plan::default()
     }
 }
 
--- a/components/runs/tests/reports.rs
+++ b/components/runs/tests/reports.rs
@@ -1,8 +1,6 @@
 //! How often entries tell each other of their room.
 
-mod common;
-
-use common::{Plan, World};
+use lab::world::{Plan, World};
 
 const SECONDS: u64 = 2;
 
@@ -14,8 +12,7 @@
         executors: 140,
         rate: 400,
         seconds: SECONDS,
-        lost_orders: None,
-        faults: Vec::new(),
+        ..Plan::default()
     };
     let mut world = World::new(plan, 7);
     world.play();
--- a/components/standin/src/leased/life.rs
+++ b/components/standin/src/leased/life.rs
@@ -121,6 +121,11 @@
         self.deadline = self.deadline.max(deadline.min(most));
     }
 
+    /// What its runs leave.
+    pub fn free(&self) -> Resources {
+        self.capacity.minus(&self.used())
+    }
+
     fn used(&self) -> Resources {
         self.running.values().fold(Resources::default(), |sum, running| sum.plus(&running.needs))
     }
@@ -145,7 +150,7 @@
         if past.is_some_and(|past| *past >= start.run.number) {
             return refused(Refusal::OldRun);
         }
-        if !self.capacity.minus(&self.used()).fits(&needs) {
+        if !self.free().fits(&needs) {
             return refused(Refusal::Room);
         }
         let how = if self.fails { How::Failed } else { How::Done };
--- /dev/null
+++ b/lab/src/cmd/run.rs
@@ -0,0 +1,79 @@
+//! Plays a pattern and prints what its callers got.
+
+use crate::cmd;
+use clap::Args;
+use lab::{
+    pattern::{Pattern, PatternError},
+    tally::{Group, Tally},
+    trial,
+};
+use std::{collections::BTreeMap, path::PathBuf};
+
+/// What to play.
+#[derive(Args)]
+pub(crate) struct Options {
+    /// The pattern's file.
+    pattern: PathBuf,
+    /// Seeds, from 0.
+    #[arg(long, default_value_t = 8)]
+    seeds: u64,
+    /// How many times the pattern's load.
+    #[arg(long, default_value_t = 1.0)]
+    load: f64,
+    /// An option of the entries, as NAME=JSON.
+    #[arg(long)]
+    set: Vec<String>,
+}
+
+/// Plays and prints.
+pub(crate) fn run(options: &Options) -> Result<(), PatternError> {
+    let pattern = Pattern::load(&options.pattern)?;
+    let mut pattern = cmd::with_options(&pattern, &options.set)?;
+    pattern.load *= options.load;
+    let offered = pattern.offered();
+    let tallies = trial::play_all(std::slice::from_ref(&pattern), 0..options.seeds).remove(0);
+    println!("offered {:.0}% of what fits; mean of {} seeds", offered * 100.0, options.seeds);
+    let figure = |name: &str, figure: fn(&Tally) -> f64| {
+        println!("{name:16} {:.3}", trial::mean(&tallies, figure));
+    };
+    figure("benefit", Tally::benefit);
+    figure("whole day", |tally| tally.all.share());
+    figure("worst windows", Tally::worst_windows);
+    figure("worst kind", Tally::worst_kind);
+    figure("worst zone", Tally::worst_zone);
+    figure("refused p50 ms", |tally| tally.refusal_ms.0);
+    figure("refused p95 ms", |tally| tally.refusal_ms.1);
+    println!("{:24} jobs in-time late refused had-room given-up failed  share", "");
+    let name = |kind: &usize| pattern.kinds[*kind].name.clone();
+    print_groups(&tallies, |tally| &tally.kinds, name);
+    print_groups(&tallies, |tally| &tally.largest, |kind| format!("{}, largest", name(kind)));
+    print_groups(&tallies, |tally| &tally.zones, |zone| format!("data centre {zone}"));
+    Ok(())
+}
+
+fn print_groups(
+    tallies: &[Tally],
+    groups: impl Fn(&Tally) -> &BTreeMap<usize, Group>,
+    name: impl Fn(&usize) -> String,
+) {
+    let mut keys: Vec<_> = tallies.iter().flat_map(|tally| groups(tally).keys()).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    for key in keys {
+        let mean = |figure: fn(&Group) -> f64| {
+            trial::mean(tallies, |tally| groups(tally).get(key).map_or(0.0, figure))
+        };
+        println!(
+            "{:24} {:4.0} {:7.0} {:4.0} {:7.0} {:8.0} {:8.0} {:6.0}  {:.3}",
+            name(key),
+            mean(|group| group.jobs as f64),
+            mean(|group| group.in_time as f64),
+            mean(|group| group.late as f64),
+            mean(|group| group.refused as f64),
+            mean(|group| group.had_room as f64),
+            mean(|group| group.given_up as f64),
+            mean(|group| group.failed as f64),
+            mean(Group::share),
+        );
+    }
+}
--- /dev/null
+++ b/lab/src/compare.rs
@@ -0,0 +1,39 @@
+//! Two policies on the same arrivals.
+
+use crate::tally::Tally;
+use derive_more::Display;
+
+/// Standard errors from the mean to the ends of a 95% interval.
+const INTERVAL: f64 = 1.96;
+
+/// The difference of a figure between two policies, seed by seed.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{mean:+.3} (95%: {:+.3} to {:+.3}), better on {better} of {count}", mean - half, mean + half)]
+pub struct Difference {
+    /// Its mean.
+    pub mean: f64,
+    /// Half the length of the 95% interval of the mean.
+    pub half: f64,
+    /// Seeds on which the second is better.
+    pub better: usize,
+    /// Seeds.
+    pub count: usize,
+}
+
+impl Difference {
+    /// By how much `figure` is higher in `second` than in `first`.
+    pub fn new(first: &[Tally], second: &[Tally], figure: impl Fn(&Tally) -> f64) -> Self {
+        let pairs = first.iter().zip(second);
+        let differences: Vec<_> = pairs.map(|(a, b)| figure(b) - figure(a)).collect();
+        let count = differences.len();
+        let mean = differences.iter().sum::<f64>() / count.max(1) as f64;
+        let squares: f64 = differences.iter().map(|value| (value - mean).powi(2)).sum();
+        let variance = squares / count.saturating_sub(1).max(1) as f64;
+        Self {
+            mean,
+            half: INTERVAL * (variance / count.max(1) as f64).sqrt(),
+            better: differences.iter().filter(|value| **value > 0.0).count(),
+            count,
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/pattern/draw.rs
@@ -0,0 +1,134 @@
+//! The arrivals of a day, drawn from a seed.
+
+use super::{Kind, Pattern};
+use crate::world::{Arrival, Plan, service};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp1, weighted::WeightedIndex};
+use runs::Job;
+use site::unit::{Cores, Memory, Resources, Slots, Span, Time};
+use std::f64::consts::TAU;
+
+/// Callers of each data centre; each always comes to the same entry while it is there.
+const CLIENTS: usize = 10;
+
+/// Memory of a task.
+const TASK_MEMORY: Memory = Memory(64 << 20);
+
+/// Failures of one task that fail its job.
+const MOST_FAILURES: u16 = 3;
+
+/// An answer counts for its caller up to this many times its objective, by the estimate.
+const PATIENCE: f64 = 4.2;
+
+impl Pattern {
+    /// The day that a seed makes of it.
+    pub fn plan(&self, seed: u64) -> Plan {
+        Plan {
+            zones: self.zones.clone(),
+            data_centres: self.zones.len(),
+            cores: self.cores.clone(),
+            arrivals: Some(self.arrivals(seed).into()),
+            seconds: self.seconds,
+            lost_orders: self.lost_orders,
+            faults: self.faults.iter().map(|timed| (timed.at_ms, timed.fault)).collect(),
+            options: self.options,
+            ..Plan::default()
+        }
+    }
+
+    fn arrivals(&self, seed: u64) -> Vec<Arrival> {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut arrivals: Vec<Arrival> = Vec::new();
+        for (number, kind) in self.kinds.iter().enumerate() {
+            // Arrivals at the highest rate that there ever is, of which some are left out.
+            let most = kind.per_s * self.load * self.peak(number);
+            let mut at = 0.0;
+            loop {
+                let gap: f64 = Exp1.sample(&mut random);
+                at += gap / most;
+                if at >= self.seconds as f64 {
+                    break;
+                }
+                let taken =
+                    random.random_bool((self.rate(number, at) / self.peak(number)).min(1.0));
+                let arrival = self.arrival(number, kind, at, &mut random);
+                if taken {
+                    arrivals.push(arrival);
+                }
+            }
+        }
+        arrivals.sort_by_key(|arrival| arrival.at);
+        for (index, arrival) in arrivals.iter_mut().enumerate() {
+            arrival.job.name = format!("{:016x}", index + 1).into();
+        }
+        arrivals
+    }
+
+    /// How many times the mean rate of a kind comes at a moment.
+    fn rate(&self, kind: usize, at: f64) -> f64 {
+        let swing =
+            self.swing.map_or(1.0, |swing| 1.0 + swing.part * (TAU * at / swing.period_s).sin());
+        let is_on = |from: f64, span: f64| (from..from + span).contains(&at);
+        let bursts = self.bursts.iter().filter(|burst| burst.kind.is_none_or(|only| only == kind));
+        let bursts = bursts.filter(|burst| is_on(burst.at_s, burst.for_s)).map(|burst| burst.x);
+        swing * bursts.product::<f64>()
+    }
+
+    /// No moment has a higher [`rate`](Self::rate).
+    fn peak(&self, kind: usize) -> f64 {
+        let swing = self.swing.map_or(1.0, |swing| 1.0 + swing.part);
+        let bursts = self.bursts.iter().filter(|burst| burst.kind.is_none_or(|only| only == kind));
+        swing * bursts.map(|burst| burst.x.max(1.0)).product::<f64>()
+    }
+
+    fn arrival(&self, number: usize, kind: &Kind, at: f64, random: &mut ChaCha8Rng) -> Arrival {
+        let shares = self.zones.iter().map(|zone| zone.share);
+        let zone = WeightedIndex::new(shares).map_or(0, |zones| zones.sample(random));
+        let client = random.random_range(0..CLIENTS);
+        let tasks = kind.tasks.draw(random).round() as u16;
+        let mean_us = kind.task_ms.draw(random) * 1_000.0;
+        let mut off = |part: f64| 1.0 + part * random.random_range(-1.0..=1.0);
+        let estimate = Span((mean_us * off(kind.estimate_off)) as u64);
+        let lengths: Vec<_> =
+            (0..tasks).map(|_| Span((mean_us * off(kind.uneven)) as u64)).collect();
+        let longest = lengths.iter().max().copied().unwrap_or_default();
+        let cores = Cores(kind.cores.draw(random) as u32);
+        let due = self.objective(estimate);
+        let job = Job {
+            name: "".into(),
+            request: "".into(),
+            spec: "x".into(),
+            tasks,
+            needs: Resources {
+                slots: Slots(1),
+                cores,
+                memory: TASK_MEMORY,
+                ..Resources::default()
+            },
+            label: None,
+            per_executor: None,
+            estimate,
+            service: service(),
+            priority: kind.priority,
+            max_failures: MOST_FAILURES,
+            due: Time(due.0),
+            give_up: Time((due.0 as f64 * PATIENCE) as u64),
+            first_run: 1,
+        };
+        Arrival {
+            at: Span((at * 1e6) as u64),
+            zone,
+            client,
+            kind: number,
+            job,
+            lengths,
+            objective: self.objective(longest),
+        }
+    }
+
+    /// From when on the answer to a job is late.
+    fn objective(&self, task: Span) -> Span {
+        Span((task.0 as f64 * self.stretch) as u64) + Span::from_millis(self.target_ms)
+    }
+}
--- a/components/runs/tests/common/world/callers.rs
+++ b/lab/src/world/callers.rs
@@ -1,17 +1,56 @@
 //! Callers: what they hand in, what they are told, when they come again.
 
 use super::{
-    ANSWER_SLACK_US, Caller, RESEND_US, Step, World,
+    ANSWER_SLACK_US, BEGIN_US, CALLER_WAY_US, Caller, Outcome, RESEND_US, Record, Step, Work,
+    World,
+    arrival::job_at,
     layout::{needs, service},
 };
 use rand::Rng;
 use runs::{Event, Job, job::Answer};
 use site::{
     id::WaiterId,
-    unit::{Span, Time},
+    unit::{Resources, Span, Time},
 };
 
 impl World {
+    pub(super) fn begin_traffic(&mut self) {
+        let Some(arrivals) = self.plan.arrivals.clone() else {
+            return self.at(Time(BEGIN_US), Step::Submit);
+        };
+        for (number, arrival) in arrivals.iter().enumerate() {
+            let work = Work { lengths: arrival.lengths.clone(), needs: arrival.job.needs };
+            self.works.insert(arrival.job.name.clone(), work);
+            let (after, outcome) = (Span::ZERO, Outcome::Open);
+            self.records.push(Record { arrival: number, outcome, after, had_room: false });
+            let at = Time(BEGIN_US + arrival.at.0 + CALLER_WAY_US);
+            self.at(at, Step::Arrive(number));
+        }
+    }
+
+    pub(super) fn arrive(&mut self, number: usize) {
+        let arrival = self.plan.arrivals.as_ref().map(|arrivals| arrivals[number].clone());
+        if let Some(arrival) = arrival {
+            self.submit(job_at(&arrival.job, self.now), Some(number));
+        }
+    }
+
+    /// The entries that take callers, those of the caller's data centre if there are any.
+    fn entries_for(&self, arrival: Option<usize>) -> Vec<usize> {
+        let up: Vec<_> = (0..self.nodes.len())
+            .filter(|node| self.is_up(*node) && !self.nodes[*node].exited)
+            .collect();
+        let Some(arrival) = arrival.and_then(|number| self.plan.arrivals.as_ref()?.get(number))
+        else {
+            return up;
+        };
+        let near = |node: &usize| self.plan.zone_of_entry(*node) == arrival.zone;
+        let near: Vec<_> = up.iter().copied().filter(near).collect();
+        let candidates = if near.is_empty() { up } else { near };
+        let chosen = candidates.get(arrival.client % candidates.len().max(1)).copied();
+        chosen.into_iter().collect()
+    }
+
     pub(super) fn submit_fresh(&mut self) {
         let gap = 1_000_000 / self.plan.rate;
         let end = self.end_us();
@@ -41,20 +80,22 @@
             give_up: self.now + Span(objective.0 * 3),
             first_run: 1,
         };
-        self.submit(job);
+        let base = ms * 1_000;
+        let length = Span(base + base * (digits % 41) / 100);
+        let work = Work { lengths: vec![length; usize::from(tasks)], needs: needs() };
+        self.works.insert(job.name.clone(), work);
+        self.submit(job, None);
     }
 
-    pub(super) fn submit(&mut self, mut job: Job) {
-        let up: Vec<_> = (0..self.nodes.len())
-            .filter(|node| self.is_up(*node) && !self.nodes[*node].exited)
-            .collect();
+    pub(super) fn submit(&mut self, mut job: Job, arrival: Option<usize>) {
+        let up = self.entries_for(arrival);
         if up.is_empty() || job.give_up.0 < self.now.0 {
             return;
         }
         let node = up[self.random.random_range(0..up.len())];
         job.first_run += self.next_job as u32 % 3;
         let waiter = self.callers.len() as u64 + 1;
-        let caller = Caller { node, job: job.clone(), answered: false, left: false };
+        let caller = Caller { node, job: job.clone(), arrival, answered: false, left: false };
         self.callers.insert(waiter, caller);
         self.feed(node, Event::Submit { waiter: WaiterId(waiter), job });
     }
@@ -82,6 +123,9 @@
             Answer::Refused { .. } => "refused",
         };
         *self.answers.entry(name).or_default() += 1;
+        if let Some(number) = caller.arrival {
+            self.record(number, answer);
+        }
         match answer {
             Answer::Completed => {
                 for index in 0..job.tasks {
@@ -102,6 +146,35 @@
         }
     }
 
+    fn record(&mut self, number: usize, answer: Answer) {
+        let Some(arrival) = self.plan.arrivals.as_ref().and_then(|all| all.get(number)) else {
+            return;
+        };
+        let after = Span(self.now.0 + CALLER_WAY_US - BEGIN_US - arrival.at.0);
+        let outcome = match answer {
+            Answer::Completed => Outcome::completed(after, arrival.objective),
+            Answer::Failed => Outcome::Failed,
+            Answer::GivenUp => Outcome::GivenUp,
+            Answer::Refused { .. } => Outcome::Refused,
+        };
+        let wanted = u32::from(arrival.job.tasks);
+        let needs = arrival.job.needs;
+        let had_room = outcome == Outcome::Refused && self.room(&needs) >= wanted;
+        self.records[number] = Record { arrival: number, outcome, after, had_room };
+    }
+
+    /// How many such tasks the executors could start now.
+    fn room(&mut self, needs: &Resources) -> u32 {
+        let now = self.now;
+        let sound = self.slots.iter_mut().filter(|slot| slot.fake.up && slot.fake.dark_until < now);
+        sound
+            .map(|slot| {
+                slot.fake.settle(now);
+                slot.fake.free().count(needs)
+            })
+            .sum()
+    }
+
     /// A process is gone: its callers see a break and come again.
     pub(super) fn lose(&mut self, node: usize) {
         let mut again = Vec::new();
@@ -111,13 +184,13 @@
                 let mut job = caller.job.clone();
                 job.first_run += 20;
                 self.broken.insert(job.name.to_string());
-                again.push(job);
+                again.push((job, caller.arrival));
             }
         }
-        for mut job in again {
+        for (mut job, arrival) in again {
             // Long patience, so that a second try meets what is left of the first one.
             job.give_up = Time(self.now.0 + RESEND_US + 3_000_000);
-            self.after(RESEND_US, Step::Again(job));
+            self.after(RESEND_US, Step::Again(job, arrival));
         }
     }
 }
--- a/components/runs/tests/common/world/layout.rs
+++ b/lab/src/world/layout.rs
@@ -1,16 +1,19 @@
 //! The entries, executors and needs of a site.
 
+use super::Plan;
 use runs::Executor;
 use site::{
     id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId},
     unit::{Cores, Memory, Resources, Slots},
 };
 
-pub(crate) fn service() -> ServiceId {
+/// The service of all executors.
+pub fn service() -> ServiceId {
     ServiceId::of("service")
 }
 
-pub(crate) fn needs() -> Resources {
+/// What the tasks of evenly arriving jobs need.
+pub(super) fn needs() -> Resources {
     Resources {
         slots: Slots(1),
         cores: Cores(27_000),
@@ -19,8 +22,9 @@
     }
 }
 
-pub(super) fn capacity(index: usize) -> Resources {
-    let cores = if index % 3 == 2 { 96_000 } else { 64_000 };
+/// What an executor offers.
+pub(super) fn capacity(plan: &Plan, index: usize) -> Resources {
+    let cores = plan.cores.get(index % plan.cores.len().max(1)).copied().unwrap_or_default();
     Resources {
         slots: Slots(8),
         cores: Cores(cores),
@@ -29,23 +33,25 @@
     }
 }
 
-pub(super) fn home(index: usize, data_centres: usize, incarnation: u64) -> Home {
+/// An entry's process.
+pub(super) fn home(plan: &Plan, index: usize, incarnation: u64) -> Home {
     Home {
-        data_centre: DataCentreId((index % data_centres) as u64),
+        data_centre: DataCentreId(plan.zone_of_entry(index) as u64),
         entry: EntryId::of(&format!("entry-{index}")),
         incarnation: Incarnation(incarnation),
     }
 }
 
-pub(super) fn executor(index: usize, life: u32, data_centres: usize) -> Executor {
+/// A life of an executor.
+pub(super) fn executor(plan: &Plan, index: usize, life: u32) -> Executor {
     let name = format!("i-{index}-{life}");
     Executor {
         id: EndpointId::of(&name),
         name: name.into(),
         address: ([127, 0, 0, 1], index as u16 + 1).into(),
-        data_centre: DataCentreId((index % data_centres) as u64),
+        data_centre: DataCentreId(plan.zone_of_executor(index) as u64),
         service: service(),
-        capacity: capacity(index),
+        capacity: capacity(plan, index),
         labels: Vec::new(),
         leaving: false,
     }
--- a/components/runs/tests/common/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -2,6 +2,7 @@
 //! runs twice at a time, no refused job ever runs, each caller gets one answer in time, and only
 //! whole jobs are called complete.
 
+mod arrival;
 mod callers;
 mod faults;
 mod layout;
@@ -9,8 +10,11 @@
 mod orders;
 mod plan;
 
-pub(crate) use plan::{Fault, Plan};
+pub use arrival::{Arrival, Outcome, Record};
+pub use layout::service;
+pub use plan::{Fault, Plan, Zone};
 
+use compact_str::CompactString;
 use layout::{capacity, executor, home};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,9 +24,10 @@
     entry::TICK,
     job::Run,
 };
+use rustc_hash::FxHashMap;
 use site::{
     id::{EndpointId, Home, Incarnation},
-    unit::Time,
+    unit::{Resources, Span, Time},
 };
 use standin::leased::Life;
 use std::{
@@ -32,6 +37,8 @@
 
 /// One way of a message or an order.
 const WAY_US: u64 = 1_000;
+/// One way between a caller and an entry.
+const CALLER_WAY_US: u64 = 3_000;
 /// A peer that is silent for this long is lost.
 const PEER_IDLE_US: u64 = 800_000;
 /// An order without an answer is given up after this time.
@@ -63,17 +70,26 @@
 struct Caller {
     node: usize,
     job: Job,
+    /// Which of the drawn arrivals it is.
+    arrival: Option<usize>,
     answered: bool,
     left: bool,
 }
 
+/// What a job's tasks take.
+struct Work {
+    lengths: Vec<Span>,
+    needs: Resources,
+}
+
 #[derive(Debug)]
 enum Step {
     Feed(usize, Incarnation, Event),
     Deliver { from: Home, to: usize, message: Message },
     Order(usize, Incarnation, Order),
     Submit,
-    Again(Job),
+    Arrive(usize),
+    Again(Job, Option<usize>),
     Tick(usize, Incarnation),
     Fault(Fault),
     Unfault(Fault),
@@ -86,7 +102,7 @@
 
 /// Whether an order has reached its executor, which it does once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Arrival {
+enum Progress {
     Coming,
     There,
 }
@@ -100,10 +116,12 @@
         token: u64,
     },
     /// With the moment until which it waits.
-    Look(Look, Time, Arrival),
+    Look(Look, Time, Progress),
 }
 
-pub(crate) struct World {
+/// A site in virtual time.
+pub struct World {
+    /// The moment that it has reached.
     pub now: Time,
     plan: Plan,
     random: ChaCha8Rng,
@@ -122,18 +140,23 @@
     /// Jobs whose caller saw a break.
     broken: BTreeSet<String>,
     done: BTreeSet<(String, u16)>,
+    works: FxHashMap<CompactString, Work>,
+    /// What became of the drawn arrivals.
+    pub records: Vec<Record>,
+    /// Answers, by their names.
     pub answers: BTreeMap<&'static str, u64>,
+    /// Tasks that executors have begun.
     pub starts: u64,
-    pub waste: u64,
     /// Reports of room that entries sent to each other while jobs came in.
     pub reports: u64,
 }
 
 impl World {
-    pub(crate) fn new(plan: Plan, seed: u64) -> Self {
+    /// A site whose first job comes after three seconds. `seed` decides all that is left to chance.
+    pub fn new(plan: Plan, seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let nodes = (0..plan.entries).map(|index| Node {
-            home: home(index, plan.data_centres, random.random()),
+        let nodes = (0..plan.entry_count()).map(|index| Node {
+            home: home(&plan, index, random.random()),
             entry: None,
             frozen_until: Time(0),
             cut_until: Time(0),
@@ -141,10 +164,10 @@
             exited: false,
         });
         let nodes = nodes.collect();
-        let slots = (0..plan.executors).map(|index| Slot {
-            executor: executor(index, 0, plan.data_centres),
+        let slots = (0..plan.executor_count()).map(|index| Slot {
+            executor: executor(&plan, index, 0),
             fake: Life::new(
-                capacity(index),
+                capacity(&plan, index),
                 [0, 10, 20][index % 3],
                 random.random_range(0..1_000_000),
             ),
@@ -168,15 +191,16 @@
             refused: BTreeSet::new(),
             broken: BTreeSet::new(),
             done: BTreeSet::new(),
+            works: FxHashMap::default(),
+            records: Vec::new(),
             answers: BTreeMap::new(),
             starts: 0,
-            waste: 0,
             reports: 0,
         };
         for node in 0..world.nodes.len() {
             world.boot(node);
         }
-        world.at(Time(BEGIN_US), Step::Submit);
+        world.begin_traffic();
         for (ms, fault) in world.plan.faults.clone() {
             world.at(Time(BEGIN_US + ms * 1_000), Step::Fault(fault));
         }
@@ -184,7 +208,7 @@
     }
 
     /// Plays the day and some time after it, so that everything can end.
-    pub(crate) fn play(&mut self) {
+    pub fn play(&mut self) {
         let end = Time(self.end_us() + 9_000_000);
         while let Some(Reverse((time, number))) = self.steps.pop() {
             if time > end {
@@ -243,7 +267,8 @@
             }
             Step::Order(node, incarnation, order) => self.order(node, incarnation, order),
             Step::Submit => self.submit_fresh(),
-            Step::Again(job) => self.submit(job),
+            Step::Arrive(arrival) => self.arrive(arrival),
+            Step::Again(job, arrival) => self.submit(job, arrival),
             Step::Fault(fault) => self.fault(fault),
             Step::Unfault(fault) => self.unfault(fault),
             Step::Restart(node) => self.boot(node),
@@ -264,8 +289,8 @@
                 let life = self.slots[slot].life + 1;
                 let offset = self.random.random_range(0..1_000_000);
                 self.slots[slot] = Slot {
-                    executor: executor(slot, life, self.plan.data_centres),
-                    fake: Life::new(capacity(slot), 10, offset),
+                    executor: executor(&self.plan, slot, life),
+                    fake: Life::new(capacity(&self.plan, slot), 10, offset),
                     life,
                 };
                 self.tell_executors();
@@ -284,7 +309,7 @@
     }
 
     /// Whether a planned stop of an entry has finished.
-    pub(crate) fn has_exited(&self, node: usize) -> bool {
+    pub fn has_exited(&self, node: usize) -> bool {
         self.nodes[node].exited
     }
 }
--- a/components/runs/tests/common/world/nodes.rs
+++ b/lab/src/world/nodes.rs
@@ -1,8 +1,8 @@
 //! Processes of entries: their starts, their connections, and what they are told and do.
 
-use super::{Arrival, Order, Step, WAY_US, World};
+use super::{Order, Progress, Step, WAY_US, World};
 use rand::Rng;
-use runs::{Action, Entry, Event, Executor, Message, Options, entry::TICK};
+use runs::{Action, Entry, Event, Executor, Message, entry::TICK};
 use site::{
     id::Incarnation,
     unit::{Revision, Time},
@@ -14,7 +14,7 @@
         let fresh: u64 = self.random.random();
         let entry = &mut self.nodes[node];
         entry.home.incarnation = Incarnation(fresh);
-        entry.entry = Some(Entry::new(entry.home, Options::default(), now));
+        entry.entry = Some(Entry::new(entry.home, self.plan.options, now));
         entry.listed = true;
         entry.exited = false;
         let incarnation = entry.home.incarnation;
@@ -112,7 +112,7 @@
             }
             Action::Look(look) => {
                 let until = Time(self.now.0 + WAY_US + look.wait.0);
-                let order = Order::Look(look, until, Arrival::Coming);
+                let order = Order::Look(look, until, Progress::Coming);
                 self.after(WAY_US, Step::Order(node, incarnation, order));
             }
             Action::Answer { waiter, answer } => self.answer(waiter, answer),
@@ -124,7 +124,10 @@
                     self.after(WAY_US, Step::Deliver { from: home, to: peer, message });
                 }
             }
-            Action::Log(decision) => println!("{} {node} {decision:?}", self.now),
+            Action::Log(decision) if self.plan.trace => {
+                println!("{} {node} {decision:?}", self.now);
+            }
+            Action::Log(_) => {}
             Action::Exit => self.nodes[node].exited = true,
         }
     }
--- a/components/runs/tests/common/world/orders.rs
+++ b/lab/src/world/orders.rs
@@ -1,13 +1,13 @@
 //! Orders on their way to executors, and what they do there.
 
-use super::{Arrival, ORDER_US, Order, Step, WAY_US, World, layout::needs};
+use super::{ORDER_US, Order, Progress, Step, WAY_US, World};
 use rand::Rng;
 use runs::{
     Event,
     executor::{Answered, Started},
     job::Run,
 };
-use site::id::Incarnation;
+use site::{id::Incarnation, unit::Resources};
 
 impl World {
     pub(super) fn order(&mut self, node: usize, incarnation: Incarnation, order: Order) {
@@ -24,7 +24,7 @@
         if self.slots[slot].fake.dark_until > now {
             return self.reply(node, incarnation, silent(&order), ORDER_US);
         }
-        let is_there = matches!(&order, Order::Look(.., Arrival::There));
+        let is_there = matches!(&order, Order::Look(.., Progress::There));
         let one_in = self.plan.lost_orders.filter(|_| !is_there);
         let lost = one_in.is_some_and(|one_in| self.random.random_ratio(1, one_in));
         if lost {
@@ -45,7 +45,7 @@
         {
             self.slots[slot].fake.settle(now);
             if !self.slots[slot].fake.has_news(look.acknowledged) {
-                let order = Order::Look(*look, *until, Arrival::There);
+                let order = Order::Look(*look, *until, Progress::There);
                 return self.after(2_000, Step::Order(node, incarnation, order));
             }
         }
@@ -57,9 +57,9 @@
         let now = self.now;
         match order {
             Order::Start(start) => {
-                let length = self.length(&start.run);
+                let (length, needs) = self.load(&start.run);
                 let before = self.slots[slot].fake.running.contains_key(&start.run);
-                let reply = self.slots[slot].fake.start(now, start, needs(), length);
+                let reply = self.slots[slot].fake.start(now, start, needs, length);
                 if matches!(reply, Started::Running { .. }) && !before {
                     self.check_start(slot, &start.run);
                 }
@@ -89,11 +89,11 @@
         self.after(us, Step::Feed(node, incarnation, event));
     }
 
-    /// How long a task takes, alike on each run.
-    pub(super) fn length(&self, run: &Run) -> u64 {
-        let digits = u64::from_str_radix(&run.job, 16).unwrap_or(0);
-        let base = [60_000, 200_000, 200_000, 900_000][(digits % 4) as usize];
-        base + base * (digits % 41) / 100
+    /// How long a task takes in microseconds, alike on each run, and what it needs.
+    fn load(&self, run: &Run) -> (u64, Resources) {
+        let Some(work) = self.works.get(&run.job) else { return (0, Resources::default()) };
+        let length = work.lengths.get(usize::from(run.index)).copied().unwrap_or_default();
+        (length.0, work.needs)
     }
 
     pub(super) fn check_start(&mut self, slot: usize, run: &Run) {
--- /dev/null
+++ b/lab/tests/pattern.rs
@@ -0,0 +1,73 @@
+//! Patterns: what is accepted, and what a seed makes of them.
+
+use lab::pattern::{Pattern, PatternError};
+use serde_json::{Value, json};
+use std::{fs, path::PathBuf};
+
+fn folder() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("patterns")
+}
+
+fn busy() -> Value {
+    let text = fs::read_to_string(folder().join("busy.json")).expect("a pattern");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+fn check(pattern: Value) -> Result<(), PatternError> {
+    let pattern: Pattern = serde_json::from_value(pattern).expect("a pattern");
+    pattern.check()
+}
+
+#[test]
+fn all_patterns_are_sound() {
+    for file in fs::read_dir(folder()).expect("patterns") {
+        let path = file.expect("a file").path();
+        Pattern::load(&path).unwrap_or_else(|error| panic!("{error}"));
+    }
+}
+
+#[test]
+fn values_that_make_no_sense_are_refused_by_name() {
+    let problems: [(&str, Value, &str); 6] = [
+        ("zones", json!([]), "zones"),
+        ("cores", json!([0]), "cores"),
+        ("kinds", json!([]), "kinds"),
+        ("load", json!(-1.0), "load"),
+        ("bursts", json!([{"at_s": 1, "for_s": 1, "x": 2, "kind": 9}]), "bursts"),
+        ("faults", json!([{"at_ms": 1, "kind": "kill", "entry": 99}]), "faults"),
+    ];
+    for (field, value, named) in problems {
+        let mut pattern = busy();
+        pattern[field] = value;
+        let error = check(pattern).expect_err(field).to_string();
+        assert!(error.starts_with(named), "{error}");
+    }
+    let mut unknown = busy();
+    unknown["colour"] = json!("red");
+    assert!(serde_json::from_value::<Pattern>(unknown).is_err());
+}
+
+#[test]
+fn a_seed_makes_the_same_arrivals_whatever_the_options() {
+    let pattern: Pattern = serde_json::from_value(busy()).expect("a pattern");
+    let mut other = pattern.clone();
+    other.options.queue_ahead = 7;
+    let names = |pattern: &Pattern, seed| {
+        let arrivals = pattern.plan(seed).arrivals.expect("arrivals");
+        arrivals.iter().map(|arrival| (arrival.at, arrival.lengths.clone())).collect::<Vec<_>>()
+    };
+    assert_eq!(names(&pattern, 3), names(&other, 3));
+    assert_ne!(names(&pattern, 3), names(&pattern, 4));
+}
+
+#[test]
+fn the_offered_load_is_what_arrives() {
+    let pattern: Pattern = serde_json::from_value(busy()).expect("a pattern");
+    let arrivals = pattern.plan(1).arrivals.expect("arrivals");
+    let task_s: f64 =
+        arrivals.iter().flat_map(|arrival| &arrival.lengths).map(|span| span.0 as f64 / 1e6).sum();
+    // Two tasks of 14 cores fit 32 cores, three fit 48.
+    let most = pattern.seconds as f64 * (32.0 * 2.0 + 16.0 * 3.0);
+    let ratio = task_s / most / pattern.offered();
+    assert!((0.85..1.15).contains(&ratio), "{ratio}");
+}
