--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -1,21 +1,15 @@
 //! One job that this entry answers for.
 
-use crate::job::{self, Job, Key};
+use crate::{
+    Options,
+    job::{self, Job, Key},
+};
 use site::{
     id::{EndpointId, Home, WaiterId},
     unit::{Span, Time},
 };
 use std::sync::Arc;
 
-/// How long a job waits for its first start before it is refused, as a part of the time until its
-/// answer is late. Earlier refusals leave room for jobs that can still be in time: worth 0.808
-/// against 0.796 at 110 and 0.792 at 170, mean of eight paired days.
-const PATIENCE_PERCENT: u64 = 90;
-
-/// What a task is taken to last when its latest start is reckoned, as a part of its estimate.
-/// Estimates are off by up to 40%, and some executors are slower.
-const CAUTION_PERCENT: u64 = 140;
-
 /// A task that its keeper has kept for this long runs: one that can't be started is handed back
 /// after 10 ms.
 const START_TIME: Span = Span::from_millis(50);
@@ -123,8 +117,8 @@
 
     /// Whether the job has waited for its first start for so long that its caller is better off
     /// with a refusal.
-    pub(crate) fn has_waited_enough(&self, now: Time) -> bool {
-        let patience = self.job.due.since(self.arrived).0 * PATIENCE_PERCENT / 100;
+    pub(crate) fn has_waited_enough(&self, now: Time, percent: u64) -> bool {
+        let patience = self.job.due.since(self.arrived).0 * percent / 100;
         self.is_untouched() && now.since(self.arrived) > Span(patience)
     }
 
@@ -133,14 +127,16 @@
         now + self.job.estimate > self.job.give_up
     }
 
-    /// The latest start at which the job is in time.
-    pub(crate) fn start_by(&self) -> Time {
-        let estimate = self.job.estimate.0 * CAUTION_PERCENT / 100;
+    /// The latest start at which the job is in time if its tasks take this part of their estimate.
+    pub(crate) fn start_by(&self, percent: u64) -> Time {
+        let estimate = self.job.estimate.0 * percent / 100;
         Time(self.job.due.0.saturating_sub(estimate))
     }
 
     /// Sorts jobs that have begun first, then what can still be in time, the most pressing first.
-    pub(crate) fn rank(&self, now: Time) -> (bool, bool, Time, Key) {
-        (!self.has_begun(now), self.start_by() < now, self.start_by(), self.key)
+    pub(crate) fn rank(&self, now: Time, options: &Options) -> (bool, bool, Time, Key) {
+        let begun = options.begun_first && self.has_begun(now);
+        let start_by = self.start_by(options.caution_percent);
+        (!begun, start_by < now, start_by, self.key)
     }
 }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -1,6 +1,7 @@
 //! The jobs that this entry answers for.
 
 mod admission;
+mod excess;
 mod job;
 mod peer;
 mod place;
@@ -15,17 +16,14 @@
     message::{End, Ended, Moved, Room},
 };
 use admission::Admission;
+use excess::Excess;
 use job::{Open, State};
 use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{Home, WaiterId},
-    unit::{Span, Time},
+    unit::Time,
 };
 
-/// When a refused caller should come back. The unit of the answer is a second, and bursts here
-/// last a few of them.
-const RETRY_AFTER: Span = Span::from_secs(1);
-
 /// The jobs that this entry answers for.
 #[derive(Debug)]
 pub(crate) struct Jobs {
@@ -36,6 +34,7 @@
     /// The number of the next job.
     next: u64,
     admission: Admission,
+    excess: Excess,
     pub(crate) peers: Peers,
 }
 
@@ -48,6 +47,7 @@
             waiters: FxHashMap::default(),
             next: 0,
             admission: Admission::default(),
+            excess: Excess::default(),
             peers: Peers::default(),
         }
     }
@@ -84,7 +84,7 @@
         }));
         let load: Load = [own, self.load()].into_iter().chain(self.peers.loads(now)).sum();
         let open = Open::new(now, key, waiter, job);
-        let slack = open.start_by().since(now);
+        let slack = open.start_by(self.options.caution_percent).since(now);
         let has_room = self.options.fill && self.has_room(now, room, &open.job);
         let accepted = has_room || self.admission.accepts(open.job.estimate, slack, &load);
         self.waiters.insert(waiter, key.number);
@@ -241,7 +241,9 @@
             let late = now >= open.job.give_up;
             match (open.is_untouched(), open.has_waiting() && open.is_too_late(now)) {
                 (true, true) => Some(Reason::NoRoomInTime),
-                (true, false) if open.has_waited_enough(now) => Some(Reason::NoRoomInTime),
+                (true, false) if open.has_waited_enough(now, self.options.patience_percent) => {
+                    Some(Reason::NoRoomInTime)
+                }
                 (false, true) if open.ran => Some(Reason::LostTooLate),
                 (false, _) if late => Some(Reason::OutOfTime),
                 _ => None,
@@ -259,7 +261,10 @@
         self.waiters.remove(&open.waiter);
         let (answer, name) = match why {
             Reason::AllDone => (Answer::Completed, "completed"),
-            _ if open.is_untouched() => (Answer::Refused { retry_after: RETRY_AFTER }, "refused"),
+            _ if open.is_untouched() => {
+                let retry_after = self.excess.refuse(now, &open.job.name);
+                (Answer::Refused { retry_after }, "refused")
+            }
             Reason::Failures => (Answer::Failed, "failed"),
             _ => (Answer::GivenUp, "given-up"),
         };
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -44,7 +44,7 @@
             .open
             .values()
             .filter(|open| open.has_waiting_now(now) && !open.is_too_late(now))
-            .map(|open| open.rank(now))
+            .map(|open| open.rank(now, &self.options))
             .collect();
         order.sort_unstable();
         let mut placements = Vec::new();
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -50,6 +50,15 @@
     /// How long a keeper holds a task without starting it before it hands it back; its home may
     /// know of room elsewhere. As long as it takes 18 busy slots to free one.
     pub queue_hold: Span,
+    /// How long a job waits for its first start before it is refused, as a part of the time until its
+    /// answer is late. Earlier refusals leave room for jobs that can still be in time: worth 0.808
+    /// against 0.796 at 110 and 0.792 at 170, mean of eight paired days.
+    pub patience_percent: u64,
+    /// What a task is taken to last when its latest start is reckoned, as a part of its estimate.
+    /// Estimates are off by up to 40%, and some executors are slower.
+    pub caution_percent: u64,
+    /// Whether jobs of which some task has run go before others.
+    pub begun_first: bool,
     /// Whether jobs are turned away at once while those that wait already are too many.
     pub admission: bool,
     /// Whether a job that all known room suffices for is taken in whatever waits. What waits can't use
@@ -115,6 +124,9 @@
             overdue_margin: Span::from_millis(150),
             queue_ahead: 0,
             queue_hold: Span::from_millis(10),
+            patience_percent: 90,
+            caution_percent: 140,
+            begun_first: true,
             admission: true,
             fill: true,
             report_interval: Span::from_millis(4),
