--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -43,6 +43,16 @@
         /// Room at other entries at the end.
         room: u64,
     },
+    /// Too much waited when it came.
+    #[display(
+        "refused at once, it has not run: it would have waited {foreseen} for room, {limit} is the most"
+    )]
+    Overload {
+        /// How long it would have waited.
+        foreseen: CompactString,
+        /// How long it might have.
+        limit: CompactString,
+    },
     /// It came too late.
     #[display(
         "refused, it has not run: its answer was of use for {give_up_in} more, and a task takes \
@@ -179,7 +189,8 @@
 /// A wait at a keeper below this explains no delay.
 const LONG_WAIT_MS: f64 = 20.0;
 
-/// How long a keeper has a task that it hands back, in milliseconds.
+/// How long a keeper has a task that it hands back, in milliseconds: it holds it for 10 ms and looks
+/// at what it holds every 20 ms at least.
 const HAND_BACK_MS: f64 = 25.0;
 
 impl Cause {
@@ -218,6 +229,10 @@
             Cause::Late { late_by: line.text("late_by").into(), why: delay(story, lines, line) }
         }
         ("refused", "paused") => Cause::HomePaused { node: line.node.clone() },
+        ("refused", "overload") => {
+            let text = |field| first(lines, "admit").map_or("", |line| line.text(field)).into();
+            Cause::Overload { foreseen: text("foreseen"), limit: text("limit") }
+        }
         ("refused", _) if came_too_late(lines) => {
             let text = |field| first(lines, "admit").map_or("", |line| line.text(field)).into();
             Cause::TooLate { give_up_in: text("give_up_in"), estimate: text("estimate") }
--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -35,6 +35,16 @@
     );
 }
 
+#[test]
+fn a_job_that_is_turned_away_at_once_is_told_the_wait_that_was_foreseen() {
+    let admit = r#"{"time_ms":1000,"node":"entry-1","decision":"admit","job":"JOB","tasks":4,"waiting":2,"foreseen":"81200us","limit":"35ms"}"#;
+    let answer = r#"{"time_ms":1000,"node":"entry-1","decision":"answer","job":"JOB","answer":"refused","why":"overload","after":"0s","waited":"0s","late_by":"0s","waiting":2,"room":0}"#;
+    assert_eq!(
+        cause(&[admit, answer]),
+        "refused at once, it has not run: it would have waited 81200us for room, 35ms is the most"
+    );
+}
+
 #[test]
 fn a_hung_executor_is_named() {
     let stop = r#"{"time_ms":1350,"node":"entry-2","decision":"stop-run","run":"JOB.0.0.1#1","executor":"i-7","why":"overdue"}"#;
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -87,7 +87,7 @@
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "decision", rename_all = "kebab-case")]
 pub enum Decision {
-    /// A job was taken into the queue.
+    /// A job came in. One that is turned away at once has its answer next.
     Admit {
         /// The caller's name of the job.
         job: CompactString,
@@ -103,6 +103,10 @@
         give_up_in: Span,
         /// Jobs that wait here.
         waiting: usize,
+        /// How long it would wait for room by what is known; `None` without executors.
+        foreseen: Option<Span>,
+        /// How long it may wait without being turned away.
+        limit: Span,
     },
     /// Tasks of a job were sent to a keeper.
     Place {
--- a/components/runs/src/home/admission.rs
+++ b/components/runs/src/home/admission.rs
@@ -19,6 +19,23 @@
 /// Jobs after which the slack of an earlier, more pressing one counts for little.
 const MEMORY: u64 = 64;
 
+/// What a job may expect.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outlook {
+    /// How long it would wait; `None` while no executor is known, so that nothing can be foreseen.
+    pub(crate) wait: Option<Span>,
+    /// How long it may wait.
+    pub(crate) limit: Span,
+}
+
+impl Outlook {
+    /// Whether the job is to be taken in. One may be whose wait is not known: executors may come at
+    /// any moment.
+    pub(crate) fn is_fair(&self) -> bool {
+        self.wait.is_none_or(|wait| wait <= self.limit)
+    }
+}
+
 /// Decides which jobs are taken in.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
@@ -29,14 +46,12 @@
 }
 
 impl Admission {
-    /// Whether a job of that estimate and slack is taken in. `load` is that of all entries that are
-    /// known.
-    pub(crate) fn accepts(&mut self, estimate: Span, slack: Span, load: &Load) -> bool {
+    /// What a job of that estimate and slack may expect. `load` is that of all entries that are known.
+    pub(crate) fn outlook(&mut self, estimate: Span, slack: Span, load: &Load) -> Outlook {
         self.learn(estimate, slack);
         let tightest = self.tightest.unwrap_or_default();
         let limit = Span(tightest.0 * LIMIT_PERCENT / 100).max(LEAST_LIMIT);
-        // Without any executor nothing can be foreseen; one may come at any moment.
-        load.wait(self.usual).is_none_or(|wait| wait <= limit)
+        Outlook { wait: load.wait(self.usual), limit }
     }
 
     fn learn(&mut self, estimate: Span, slack: Span) {
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -127,16 +127,10 @@
         now + self.job.estimate > self.job.give_up
     }
 
-    /// The latest start at which the job is in time if its tasks take this part of their estimate.
-    pub(crate) fn start_by(&self, percent: u64) -> Time {
-        let estimate = self.job.estimate.0 * percent / 100;
-        Time(self.job.due.0.saturating_sub(estimate))
-    }
-
     /// Sorts jobs that have begun first, then what can still be in time, the most pressing first.
     pub(crate) fn rank(&self, now: Time, options: &Options) -> (bool, bool, Time, Key) {
         let begun = options.begun_first && self.has_begun(now);
-        let start_by = self.start_by(options.caution_percent);
+        let start_by = self.job.start_by(options.caution_percent);
         (!begun, start_by < now, start_by, self.key)
     }
 }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -73,6 +73,11 @@
     ) {
         self.next += 1;
         let key = Key { home: self.me, number: self.next };
+        let load = [own, self.load()].into_iter().chain(self.peers.loads(now)).sum();
+        let slack = job.start_by(self.options.caution_percent).since(now);
+        let outlook = self.admission.outlook(job.estimate, slack, &load);
+        let has_room = self.options.fill && self.has_room(now, room, &job);
+        let accepted = !self.options.admission || has_room || outlook.is_fair();
         out.push(Action::Log(Decision::Admit {
             job: job.name.clone(),
             request: job.request.clone(),
@@ -81,15 +86,12 @@
             due_in: job.due.since(now),
             give_up_in: job.give_up.since(now),
             waiting: self.waiting(),
+            foreseen: outlook.wait,
+            limit: outlook.limit,
         }));
-        let load: Load = [own, self.load()].into_iter().chain(self.peers.loads(now)).sum();
-        let open = Open::new(now, key, waiter, job);
-        let slack = open.start_by(self.options.caution_percent).since(now);
-        let has_room = self.options.fill && self.has_room(now, room, &open.job);
-        let accepted = has_room || self.admission.accepts(open.job.estimate, slack, &load);
         self.waiters.insert(waiter, key.number);
-        self.open.insert(key.number, open);
-        if self.options.admission && !accepted {
+        self.open.insert(key.number, Open::new(now, key, waiter, job));
+        if !accepted {
             self.finish(now, key.number, Reason::Overload, out);
         }
     }
--- a/components/runs/src/job.rs
+++ b/components/runs/src/job.rs
@@ -43,6 +43,14 @@
     pub first_run: u32,
 }
 
+impl Job {
+    /// The latest start at which it is in time if its tasks take this part of their estimate.
+    pub(crate) fn start_by(&self, percent: u64) -> Time {
+        let estimate = self.estimate.0 * percent / 100;
+        Time(self.due.0.saturating_sub(estimate))
+    }
+}
+
 /// Names a job among all that are open at all entries.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Key {
