--- a/components/runs/src/load.rs
+++ b/components/runs/src/load.rs
@@ -22,7 +22,7 @@
     /// known. `usual` is how long tasks take where nothing was measured yet.
     pub fn wait(&self, usual: Span) -> Option<Span> {
         let ahead = self.waiting.saturating_sub(self.free);
-        let turnover = self.turnover + per_second(self.unmeasured, usual);
+        let turnover = self.turnover.saturating_add(per_second(self.unmeasured, usual));
         let micros = u128::from(ahead) * u128::from(Span::from_secs(1).0);
         let micros = micros.checked_div(u128::from(turnover))?;
         Some(Span(u64::try_from(micros).unwrap_or(u64::MAX)))
@@ -38,10 +38,10 @@
 impl Sum for Load {
     fn sum<I: Iterator<Item = Self>>(loads: I) -> Self {
         loads.fold(Load::default(), |sum, load| Load {
-            waiting: sum.waiting + load.waiting,
-            free: sum.free + load.free,
-            turnover: sum.turnover + load.turnover,
-            unmeasured: sum.unmeasured + load.unmeasured,
+            waiting: sum.waiting.saturating_add(load.waiting),
+            free: sum.free.saturating_add(load.free),
+            turnover: sum.turnover.saturating_add(load.turnover),
+            unmeasured: sum.unmeasured.saturating_add(load.unmeasured),
         })
     }
 }
