Keepers of tasks hear of their home in time

Cause: since reports moved to a module of their own, those to far peers went out only together with those to near ones. Where a near report had just gone for another reason, keepers of the entry's tasks heard of it after up to 255 ms; they give its tasks up after 500 ms, in which three reports are to come. Ruled out: peers near the entry (they hear by the refresh of their own).

With far reports on their own interval again an entry of 35 sends 437 reports a second where 400 are allowed, since all others heard every 150 ms; with `report_share` 5 ms in place of 4 they hear every other time, about as often as they did while far reports slipped, and both bounds hold.

Tests and lints of `runs` pass.

--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -91,7 +91,7 @@
     /// time.
     pub report_refresh: Span,
     /// All other peers get a report after this time for each peer there is, so that their number
-    /// does not add to the reports that an entry sends. At 35 entries as often as `report_refresh`.
+    /// does not add to the reports that an entry sends. At 35 entries every other time.
     pub report_share: Span,
     /// The same while room is ample: once in 0.7 s among 46 peers.
     pub report_share_ample: Span,
@@ -183,7 +183,7 @@
             report_interval_share: Span::from_millis(1),
             report_interval_waiting: Span::from_millis(4),
             report_refresh: Span::from_millis(150),
-            report_share: Span::from_millis(4),
+            report_share: Span::from_millis(5),
             report_share_ample: Span::from_millis(16),
             ample_percent: 50,
             near_peers: 8,
--- a/components/runs/src/reports.rs
+++ b/components/runs/src/reports.rs
@@ -62,21 +62,22 @@
     ) -> Vec<Home> {
         let Audience { by_distance, waiting, keepers } = audience;
         let (near, far) = by_distance.split_at(by_distance.len().min(options.near_peers));
+        let interval = options.near_interval(by_distance.len(), supply);
+        let near_is_due = self.near_is_due(now, report, interval, options);
+        let urgent = report.is_news(&self.near.report);
         let mut to = Vec::new();
-        if self.near_is_due(now, report, options.near_interval(by_distance.len(), supply), options)
-        {
+        if near_is_due {
             to.extend(near);
-            // Read before what near peers know is replaced.
-            let urgent = report.is_news(&self.near.report);
-            if urgent || self.far.age(now) >= options.report_refresh {
-                let everyone =
-                    urgent || now.since(self.all) >= options.refresh_all(by_distance.len(), supply);
-                to.extend(far.iter().filter(|peer| everyone || keepers.contains(peer)));
-                self.far = Told { report: report.clone(), at: now };
-                self.all = if everyone { now } else { self.all };
-            }
             self.near = Told { report: report.clone(), at: now };
         }
+        // Not only along with near peers: keepers of tasks give up a home that they do not hear of.
+        if urgent || self.far.age(now) >= options.report_refresh {
+            let everyone =
+                urgent || now.since(self.all) >= options.refresh_all(by_distance.len(), supply);
+            to.extend(far.iter().filter(|peer| everyone || keepers.contains(peer)));
+            self.far = Told { report: report.clone(), at: now };
+            self.all = if everyone { now } else { self.all };
+        }
         let told: FxHashSet<Home> = to.iter().copied().collect();
         let quick = by_distance.iter().filter(|peer| waiting.contains(peer));
         let quick: Vec<_> = quick.take(options.near_peers).copied().collect();
--- a/components/runs/tests/reports.rs
+++ b/components/runs/tests/reports.rs
@@ -4,7 +4,10 @@
 
 use common::fixture::{home, job};
 use lab::world::{Plan, World};
-use runs::{Action, Entry, Event, Message, Options, message::Report};
+use runs::{
+    Action, Entry, Event, Message, Options,
+    message::{Report, Room},
+};
 use site::{
     id::{Home, WaiterId},
     unit::{Span, Time},
@@ -92,3 +95,48 @@
     let told = reports_to(&out, peer);
     assert!(matches!(told[..], [report] if report.load.waiting > 0), "{told:?}");
 }
+
+/// Longest time without a report to `keeper`, which has a task of the entry, while another job begins
+/// to wait after `wait`.
+fn longest_silence(peers: &[Home], keeper: Home, wait: Span) -> Span {
+    let begun = Time(1_000_000);
+    let mut entry = Entry::new(home("entry-1"), Options::default(), begun);
+    let mut out = Vec::new();
+    for peer in peers {
+        entry.handle(begun, Event::PeerUp { peer: *peer }, &mut out);
+    }
+    let room = Room { cores: vec![1_000], ahead: 0 };
+    let report = Report { sent: begun, room, capacity: 1, ..Report::default() };
+    entry.handle(
+        begun,
+        Event::Message { from: keeper, message: Message::Report(report) },
+        &mut out,
+    );
+    entry.handle(begun, Event::Submit { waiter: WaiterId(1), job: job(begun) }, &mut out);
+    let (mut told, mut longest) = (begun, Span::ZERO);
+    for step in 1..=200 {
+        out.clear();
+        let now = begun + Span::from_millis(5 * step);
+        entry.handle(now, Event::Tick, &mut out);
+        if now.since(begun) == wait {
+            entry.handle(now, Event::Submit { waiter: WaiterId(2), job: job(now) }, &mut out);
+        }
+        if !reports_to(&out, keeper).is_empty() {
+            longest = longest.max(now.since(told));
+            told = now;
+        }
+    }
+    longest.max((begun + Span::from_secs(1)).since(told))
+}
+
+/// A keeper gives the tasks of a home up that it has not heard of for 500 ms, three reports.
+#[test]
+fn keepers_of_tasks_hear_of_their_home_in_time() {
+    let peers: Vec<_> = (0..12).map(|number| home(&format!("peer-{number}"))).collect();
+    for keeper in &peers {
+        for wait in [100, 140, 290] {
+            let silence = longest_silence(&peers, *keeper, Span::from_millis(wait));
+            assert!(silence <= Span::from_millis(500 / 3), "{keeper}, {wait} ms: {silence}");
+        }
+    }
+}
