Data centres under cordon get no new tasks

Each state has the revision at which it held; a later one supersedes it wherever it was read, so that none comes back. Entries that the store refuses hear of it in reports, which go to all peers at once when it changes. An entry registers only once it has read it, so that it keeps no executor before. With all suitable executors under cordon jobs are refused at once.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -53,6 +53,11 @@
         /// How long it might have.
         limit: CompactString,
     },
+    /// Nothing could run it but executors that were to get no new work.
+    #[display(
+        "refused, it has not run: all executors that could run it are in data centres under cordon"
+    )]
+    Cordoned,
     /// It came too late.
     #[display(
         "refused, it has not run: its answer was of use for {give_up_in} more, and a task takes \
@@ -233,6 +238,7 @@
             let text = |field| first(lines, "admit").map_or("", |line| line.text(field)).into();
             Cause::Overload { foreseen: text("foreseen"), limit: text("limit") }
         }
+        ("refused", "cordoned") => Cause::Cordoned,
         ("refused", _) if came_too_late(lines) => {
             let text = |field| first(lines, "admit").map_or("", |line| line.text(field)).into();
             Cause::TooLate { give_up_in: text("give_up_in"), estimate: text("estimate") }
--- a/components/runner/src/journal.rs
+++ b/components/runner/src/journal.rs
@@ -112,11 +112,13 @@
         | Decision::Left { .. }
         | Decision::Health { .. }
         | Decision::Members { .. }
+        | Decision::Cordon { .. }
         | Decision::Paused { .. } => false,
     }
 }
 
-fn unix_ms() -> u64 {
+/// Milliseconds since 1970.
+pub(crate) fn unix_ms() -> u64 {
     // A clock before 1970 is told by the zero; the log goes on.
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_millis() as u64)
 }
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -1,8 +1,9 @@
 //! What an entry counts.
 
+use crate::journal::unix_ms;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram},
+    metrics::{Counter, Gauge, Histogram},
 };
 use runs::{
     Decision,
@@ -26,6 +27,8 @@
     failures: Counter<u64>,
     store: Counter<u64>,
     response: Histogram<f64>,
+    cordons: Gauge<u64>,
+    cordons_since: Gauge<f64>,
 }
 
 impl Metrics {
@@ -50,6 +53,14 @@
                 .with_description("Time from a job's arrival to its answer")
                 .with_boundaries(RESPONSE_BOUNDS.to_vec())
                 .build(),
+            cordons: meter
+                .u64_gauge("cordoned_data_centres")
+                .with_description("Data centres where nothing is started, as far as is known here")
+                .build(),
+            cordons_since: meter
+                .f64_gauge("cordons_changed_timestamp_seconds")
+                .with_description("When this process last heard of a change of them")
+                .build(),
             exporter,
         })
     }
@@ -69,8 +80,13 @@
     }
 
     pub(crate) fn decided(&self, decision: &Decision) {
-        if let Decision::RunEnded { .. } = decision {
-            self.failures.add(1, &[]);
+        match decision {
+            Decision::RunEnded { .. } => self.failures.add(1, &[]),
+            Decision::Cordon { data_centres, .. } => {
+                self.cordons.record(data_centres.len() as u64, &[]);
+                self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
+            }
+            _ => {}
         }
     }
 
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -10,8 +10,8 @@
 use compact_str::CompactString;
 use serde::{Serialize, Serializer};
 use site::{
-    id::{EndpointId, Home, WaiterId},
-    unit::Span,
+    id::{DataCentreId, EndpointId, Home, WaiterId},
+    unit::{Revision, Span},
 };
 use std::{fmt, sync::Arc};
 
@@ -234,6 +234,15 @@
         /// The revision of the store.
         revision: u64,
     },
+    /// The data centres under cordon changed.
+    Cordon {
+        /// Those under cordon now.
+        data_centres: Vec<DataCentreId>,
+        /// The revision of the store that this was read at.
+        revision: Revision,
+        /// Who said so.
+        source: Source,
+    },
     /// The process did not run for a while.
     Paused {
         /// For how long.
@@ -289,6 +298,8 @@
     NoRoomInTime,
     /// Too much waited when it came.
     Overload,
+    /// All executors that could run its tasks are under cordon.
+    Cordoned,
     /// A run was lost and another would end too late.
     LostTooLate,
     /// Time ran out while tasks ran.
@@ -297,6 +308,16 @@
     Paused,
 }
 
+/// Who told an entry something about the site.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Source {
+    /// The platform's store.
+    Store,
+    /// Another entry.
+    Peer,
+}
+
 /// What changed about an executor's keeping.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -1,8 +1,8 @@
 //! One entry: home of its callers' jobs and keeper of its executors.
 
 use crate::{
-    Action, Event, Message, Options,
-    action::Decision,
+    Action, Cordon, Event, Message, Options,
+    action::{Decision, Source},
     clock::Offset,
     home::Jobs,
     job::Task,
@@ -101,9 +101,8 @@
     fn take(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Submit { waiter, job } => {
-                let own = self.keeper.load(now);
-                let room = self.keeper.room(now);
-                self.jobs.submit(now, waiter, job, own, &room, out);
+                let own = self.keeper.offer(now, &job);
+                self.jobs.submit(now, waiter, job, &own, out);
             }
             Event::Leave { waiter } => {
                 let own = self.jobs.leave(waiter, out);
@@ -134,6 +133,7 @@
                 self.keeper.set_services(services);
                 self.reconcile(now, out);
             }
+            Event::Cordoned(cordon) => self.set_cordon(now, cordon, Source::Store, out),
             Event::Drain => {
                 let changed = self.view.set_leaving(self.me, true);
                 self.view_changed(now, changed, out);
@@ -184,6 +184,20 @@
         }
     }
 
+    /// Takes in which data centres are under cordon, unless that is older than what is known.
+    fn set_cordon(&mut self, now: Time, cordon: Cordon, source: Source, out: &mut Vec<Action>) {
+        if !self.keeper.set_cordon(cordon) {
+            return;
+        }
+        let cordon = self.keeper.cordon();
+        out.push(Action::Log(Decision::Cordon {
+            data_centres: cordon.data_centres().to_vec(),
+            revision: cordon.revision,
+            source,
+        }));
+        self.jobs.refuse_cordoned(now, |job| self.keeper.is_cordoned(job), out);
+    }
+
     fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.connect(peer);
         self.heard.insert(peer, now);
@@ -304,6 +318,7 @@
             load: [self.keeper.load(now), self.jobs.load()].into_iter().sum(),
             leaving: self.view.is_leaving(),
             configuration: self.configuration,
+            cordon: self.keeper.cordon().clone(),
             revision: self.view.revision(),
         }
     }
@@ -328,6 +343,7 @@
         self.clocks.entry(from).or_default().age(now, report.sent);
         self.view.see(report.revision);
         let changed = self.view.set_leaving(from, report.leaving);
+        self.set_cordon(now, report.cordon.clone(), Source::Peer, out);
         let begins = self.jobs.peers.report(now, from, report);
         if begins && !self.keeper.room(now).is_empty() {
             out.push(report_to(from, &self.report(now)));
--- a/components/runs/src/event.rs
+++ b/components/runs/src/event.rs
@@ -1,7 +1,7 @@
 //! What an entry is told.
 
 use crate::{
-    Executor, Job, Message,
+    Cordon, Executor, Job, Message,
     executor::{Answered, Lists, Started},
     job::Run,
 };
@@ -85,6 +85,8 @@
         /// The services that it sends jobs to.
         services: Vec<ServiceId>,
     },
+    /// The data centres under cordon, as the platform's store says.
+    Cordoned(Cordon),
     /// Stop: keep no executor any more and finish what is open, then [`crate::Action::Exit`].
     Drain,
     /// Time has passed. Due every [`crate::entry::TICK`].
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -12,6 +12,7 @@
     Action, Job, Message, Options,
     action::{Decision, Reason},
     job::{Answer, Key, Task},
+    keeper::Offer,
     load::Load,
     message::{End, Ended, Moved, Room},
 };
@@ -61,22 +62,21 @@
         self.open.values().flat_map(Open::placed).map(|(keeper, _)| keeper).collect()
     }
 
-    /// Takes a job in, or turns it away. `own` and `room` are those of this entry's executors.
+    /// Takes a job in, or turns it away. `own` is what this entry's executors offer it.
     pub(crate) fn submit(
         &mut self,
         now: Time,
         waiter: WaiterId,
         job: Job,
-        own: Load,
-        room: &Room,
+        own: &Offer,
         out: &mut Vec<Action>,
     ) {
         self.next += 1;
         let key = Key { home: self.me, number: self.next };
-        let load = [own, self.load()].into_iter().chain(self.peers.loads(now)).sum();
+        let load = [own.load, self.load()].into_iter().chain(self.peers.loads(now)).sum();
         let slack = job.start_by(self.options.caution_percent).since(now);
         let outlook = self.admission.outlook(job.estimate, slack, &load);
-        let has_room = self.options.fill && self.has_room(now, room, &job);
+        let has_room = self.options.fill && self.has_room(now, &own.room, &job);
         let accepted = !self.options.admission || has_room || outlook.is_fair();
         out.push(Action::Log(Decision::Admit {
             job: job.name.clone(),
@@ -91,8 +91,27 @@
         }));
         self.waiters.insert(waiter, key.number);
         self.open.insert(key.number, Open::new(now, key, waiter, job));
-        if !accepted {
-            self.finish(now, key.number, Reason::Overload, out);
+        let refusal = match (own.is_cordoned, accepted) {
+            (true, _) => Reason::Cordoned,
+            (false, false) => Reason::Overload,
+            (false, true) => return,
+        };
+        self.finish(now, key.number, refusal, out);
+    }
+
+    /// Refuses the jobs that wait for executors that have come under cordon. Those of which some task
+    /// may have run wait for as long as they can.
+    pub(crate) fn refuse_cordoned(
+        &mut self,
+        now: Time,
+        is_cordoned: impl Fn(&Job) -> bool,
+        out: &mut Vec<Action>,
+    ) {
+        let waits = |open: &Open| open.is_untouched() && is_cordoned(&open.job);
+        let waiting: Vec<_> =
+            self.open.iter().filter(|(_, open)| waits(open)).map(|(number, _)| *number).collect();
+        for number in waiting {
+            self.finish(now, number, Reason::Cordoned, out);
         }
     }
 
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -10,7 +10,7 @@
 use queue::{Queue, Queued};
 
 use crate::{
-    Action, Executor, Message, Options,
+    Action, Cordon, Executor, Job, Message, Options,
     action::{Decision, Ending, KeepChange},
     job::Run,
     load::{self, Load},
@@ -41,6 +41,8 @@
     /// The services that jobs are sent to; `None` until the configuration is known. Executors of
     /// others, which anybody may register, are left alone.
     services: Option<FxHashSet<ServiceId>>,
+    /// Where no task may be started.
+    cordon: Cordon,
     leases: FxHashMap<EndpointId, Lease>,
     queue: Queue,
     health: Monitor,
@@ -56,12 +58,22 @@
     ends: Vec<message::Ended>,
 }
 
+/// What this entry's executors offer a job that comes in.
+#[derive(Debug)]
+pub(crate) struct Offer {
+    pub(crate) load: Load,
+    pub(crate) room: Room,
+    /// All executors that could run it, here and elsewhere, are under cordon.
+    pub(crate) is_cordoned: bool,
+}
+
 impl Keeper {
     pub(crate) fn new(options: Options) -> Self {
         Self {
             options,
             known: FxHashMap::default(),
             services: None,
+            cordon: Cordon::default(),
             leases: FxHashMap::default(),
             queue: Queue::default(),
             health: Monitor::new(),
@@ -78,6 +90,11 @@
         std::mem::take(&mut self.ends)
     }
 
+    /// What there is for a job that comes in.
+    pub(crate) fn offer(&self, now: Time, job: &Job) -> Offer {
+        Offer { load: self.load(now), room: self.room(now), is_cordoned: self.is_cordoned(job) }
+    }
+
     /// What may be sent here now.
     pub(crate) fn room(&self, now: Time) -> Room {
         let usable: Vec<_> = self.usable(now).collect();
@@ -92,7 +109,7 @@
         room
     }
 
-    /// Tasks of usual size that run at one time on the executors in use.
+    /// Tasks of usual size that run at one time on the executors in use, under cordon or not.
     pub(crate) fn capacity(&self) -> u32 {
         let ready = self.leases.values().filter(|lease| lease.phase == Phase::Ready);
         ready.map(|lease| lease.executor.capacity.count(&self.typical)).sum()
@@ -124,16 +141,21 @@
     fn may_use(&self, now: Time, lease: &Lease) -> bool {
         let is_coming = matches!(lease.phase, Phase::Claiming { .. } | Phase::Looking);
         self.is_named(lease.executor.service)
-            && self.health.is_open(lease.executor.id)
+            && self.is_open(&lease.executor)
             && (lease.is_usable(now) || is_coming && !lease.executor.leaving && lease.silent == 0)
     }
 
+    /// Whether tasks may be started at an executor, as far as its health and the operator go.
+    fn is_open(&self, executor: &Executor) -> bool {
+        self.health.is_open(executor.id) && !self.cordon.covers(executor.data_centre)
+    }
+
     /// Executors that may get a task now if they have room for it.
     fn usable(&self, now: Time) -> impl Iterator<Item = &Lease> {
         self.leases.values().filter(move |lease| {
             lease.is_usable(now)
                 && self.is_named(lease.executor.service)
-                && self.health.is_open(lease.executor.id)
+                && self.is_open(&lease.executor)
         })
     }
 
@@ -191,6 +213,29 @@
         self.services = Some(services.into_iter().collect());
     }
 
+    /// The latest cordon that is known.
+    pub(crate) fn cordon(&self) -> &Cordon {
+        &self.cordon
+    }
+
+    /// Takes in which data centres are under cordon; returns whether they changed.
+    pub(crate) fn set_cordon(&mut self, later: Cordon) -> bool {
+        self.cordon.supersede(later)
+    }
+
+    /// Whether a job's tasks could run, but for the cordon.
+    pub(crate) fn is_cordoned(&self, job: &Job) -> bool {
+        if self.cordon.data_centres().is_empty() {
+            return false;
+        }
+        let suits = |executor: &&Executor| {
+            executor.service == job.service && executor.capacity.fits(&job.needs)
+        };
+        let mut suitable = self.known.values().filter(suits).peekable();
+        suitable.peek().is_some()
+            && suitable.all(|executor| self.cordon.covers(executor.data_centre))
+    }
+
     fn is_named(&self, service: ServiceId) -> bool {
         self.services.as_ref().is_none_or(|services| services.contains(&service))
     }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -58,7 +58,7 @@
             lease.is_usable(now)
                 && lease.executor.service == queued.service
                 && lease.free().fits(&queued.needs)
-                && self.health.is_open(lease.executor.id)
+                && self.is_open(&lease.executor)
                 && !queued.avoid.contains(&lease.executor.id)
                 && queued.label.as_ref().is_none_or(|label| lease.executor.labels.contains(label))
                 && queued
--- a/components/runs/src/lib.rs
+++ b/components/runs/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod action;
 pub mod clock;
+pub mod cordon;
 pub mod entry;
 pub mod event;
 pub mod executor;
@@ -25,6 +26,7 @@
 mod view;
 
 pub use action::{Action, Decision};
+pub use cordon::Cordon;
 pub use entry::Entry;
 pub use event::Event;
 pub use executor::Executor;
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -1,6 +1,7 @@
 //! What entries say to each other.
 
 use crate::{
+    Cordon,
     job::{Run, Task},
     load::Load,
 };
@@ -137,6 +138,8 @@
     pub leaving: bool,
     /// The version of the configuration that it knows.
     pub configuration: u64,
+    /// The latest cordon that it knows, for entries that can't reach the platform's store.
+    pub cordon: Cordon,
     /// The newest revision of the platform's store that it has seen.
     pub revision: Revision,
 }
@@ -147,6 +150,7 @@
         self.capacity != old.capacity
             || self.leaving != old.leaving
             || self.configuration != old.configuration
+            || !self.cordon.matches(&old.cordon)
     }
 
     /// Whether work waits there now and did not before.
--- /dev/null
+++ b/components/runs/tests/cordon.rs
@@ -0,0 +1,324 @@
+//! Data centres that an operator has put under cordon: nothing is started there.
+
+mod common;
+
+use common::fixture::{executor, home, job, needs};
+use lab::world::{Fault, Plan, World};
+use runs::{
+    Action, Cordon, Entry, Event, Executor, Job, Message, Options,
+    executor::{Answered, Ended, How, Lists},
+    job::{Answer, Run},
+    message::Report,
+};
+use site::{
+    id::{DataCentreId, EndpointId, WaiterId},
+    unit::{Cores, Resources, Revision, Slots, Span, Time},
+};
+use std::collections::BTreeMap;
+
+/// The data centre of [`executor`].
+const HERE: DataCentreId = DataCentreId(1);
+
+/// An entry that keeps one executor in each of two data centres and answers looks at once.
+struct Site {
+    entry: Entry,
+    now: Time,
+    started: Vec<EndpointId>,
+    runs: Vec<Run>,
+    /// The latest look at each executor that is not answered yet.
+    looks: BTreeMap<EndpointId, u64>,
+    answers: Vec<Answer>,
+}
+
+impl Site {
+    fn start() -> Self {
+        let me = home("entry-1");
+        let now = Time(1_000_000);
+        let entry = Entry::new(me, Options::default(), now);
+        let mut site = Self {
+            entry,
+            now,
+            started: Vec::new(),
+            runs: Vec::new(),
+            looks: BTreeMap::new(),
+            answers: Vec::new(),
+        };
+        site.feed(Event::Members { revision: Revision(41), members: vec![me] });
+        site.feed(Event::Executors(vec![executor(), other()]));
+        site.run(Span::from_secs(1));
+        site
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let mut out = Vec::new();
+            self.entry.handle(self.now, event, &mut out);
+            for action in out {
+                match action {
+                    Action::Start(start) => {
+                        self.started.push(start.executor);
+                        self.runs.push(start.run);
+                    }
+                    Action::Answer { answer, .. } => self.answers.push(answer),
+                    Action::Look(look) if look.wait == Span::ZERO => {
+                        let lists = Lists { clock: self.now.0 / 1_000, ..Lists::default() };
+                        let (executor, number) = (look.executor, look.number);
+                        let reply = Answered::Done(lists);
+                        events.push(Event::Looked { executor, number, reply });
+                    }
+                    Action::Look(look) => {
+                        self.looks.insert(look.executor, look.number);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// The only run at an executor ends well.
+    fn end(&mut self, executor: EndpointId) {
+        let index = self.started.iter().position(|started| *started == executor);
+        let run = index.map(|index| self.runs[index].clone());
+        let ended = vec![Ended { number: 1, run, how: How::Done }];
+        let lists = Lists { clock: self.now.0 / 1_000, running: Vec::new(), ended };
+        let number = self.looks[&executor];
+        self.feed(Event::Looked { executor, number, reply: Answered::Done(lists) });
+    }
+
+    fn run(&mut self, span: Span) {
+        for _ in 0..span.0 / 20_000 {
+            self.now = self.now + Span::from_millis(20);
+            self.feed(Event::Tick);
+        }
+    }
+
+    fn submit(&mut self, number: u64) {
+        self.submit_wide(number, needs().cores.0);
+    }
+
+    fn submit_wide(&mut self, number: u64, cores: u32) {
+        let needs = Resources { slots: Slots(1), cores: Cores(cores), ..Resources::default() };
+        let name = format!("{number:016x}").into();
+        let job = Job { name, needs, ..job(self.now) };
+        self.feed(Event::Submit { waiter: WaiterId(number), job });
+    }
+
+    fn is_refused(&self) -> bool {
+        matches!(self.answers[..], [Answer::Refused { .. }])
+    }
+}
+
+/// An executor of a data centre without entries.
+fn other() -> Executor {
+    Executor {
+        id: EndpointId::of("i-2"),
+        name: "i-2".into(),
+        data_centre: DataCentreId(2),
+        ..executor()
+    }
+}
+
+fn cordon(revision: u64, data_centres: &[u64]) -> Cordon {
+    Cordon::new(Revision(revision), data_centres.iter().map(|id| DataCentreId(*id)))
+}
+
+#[test]
+fn nothing_is_started_under_a_cordon_and_work_goes_elsewhere() {
+    let mut site = Site::start();
+    site.feed(Event::Cordoned(cordon(50, &[1])));
+    for number in 1..=6 {
+        site.submit(number);
+    }
+    assert_eq!(site.started, [other().id; 6]);
+    site.feed(Event::Cordoned(cordon(51, &[])));
+    for number in 7..=8 {
+        site.submit(number);
+    }
+    site.submit_wide(9, 60_000);
+    assert!(site.started[6..].contains(&executor().id), "{:?}", site.started);
+}
+
+#[test]
+fn what_waits_is_not_started_where_room_comes_free_under_a_cordon() {
+    let mut site = Site::start();
+    site.submit_wide(1, 60_000);
+    site.submit_wide(2, 60_000);
+    site.submit_wide(3, 60_000);
+    assert_eq!(site.started.len(), 2);
+    site.feed(Event::Cordoned(cordon(50, &[2])));
+    site.run(Span::from_millis(100));
+    site.end(other().id);
+    site.run(Span::from_millis(100));
+    assert_eq!(site.started.len(), 2, "a start under the cordon");
+    site.end(executor().id);
+    assert_eq!(site.started[2..], [executor().id]);
+}
+
+#[test]
+fn with_every_executor_under_cordon_jobs_are_refused_at_once() {
+    let mut site = Site::start();
+    site.feed(Event::Cordoned(cordon(50, &[1, 2])));
+    site.submit(1);
+    assert!(site.is_refused(), "{:?}", site.answers);
+    site.feed(Event::Cordoned(cordon(51, &[1])));
+    site.submit(2);
+    assert_eq!(site.started, [other().id]);
+}
+
+#[test]
+fn jobs_that_wait_are_refused_when_the_last_executor_comes_under_cordon() {
+    let mut site = Site::start();
+    site.submit_wide(1, 60_000);
+    site.submit_wide(2, 60_000);
+    site.submit_wide(3, 60_000);
+    site.feed(Event::Cordoned(cordon(50, &[1, 2])));
+    assert!(site.is_refused(), "{:?}", site.answers);
+    assert_eq!(site.started.len(), 2, "what runs goes on");
+}
+
+#[test]
+fn a_cordon_around_an_unknown_data_centre_changes_nothing() {
+    let mut site = Site::start();
+    site.feed(Event::Cordoned(cordon(50, &[77])));
+    site.submit(1);
+    assert_eq!(site.started.len(), 1);
+}
+
+#[test]
+fn an_older_cordon_never_comes_back() {
+    let mut site = Site::start();
+    site.feed(Event::Cordoned(cordon(60, &[1])));
+    site.feed(Event::Cordoned(cordon(55, &[])));
+    site.submit(1);
+    assert_eq!(site.started, [other().id]);
+    // Unchanged, but known to hold at a later revision than what a peer says next.
+    site.feed(Event::Cordoned(cordon(70, &[1])));
+    let peer = home("entry-2");
+    site.feed(Event::PeerUp { peer });
+    let report = Report { sent: site.now, cordon: cordon(65, &[]), ..Report::default() };
+    site.feed(Event::Message { from: peer, message: Message::Report(report) });
+    site.submit(2);
+    assert_eq!(site.started, [other().id; 2]);
+}
+
+#[test]
+fn an_entry_that_the_store_does_not_tell_hears_of_a_cordon_from_its_peers() {
+    let mut site = Site::start();
+    let peer = home("entry-2");
+    site.feed(Event::PeerUp { peer });
+    let report = Report { sent: site.now, cordon: cordon(65, &[1]), ..Report::default() };
+    site.feed(Event::Message { from: peer, message: Message::Report(report) });
+    site.submit(1);
+    assert_eq!(site.started, [other().id]);
+}
+
+#[test]
+fn peers_are_told_of_a_cordon_at_once() {
+    let me = home("entry-1");
+    let begun = Time(1_000_000);
+    let mut entry = Entry::new(me, Options::default(), begun);
+    let mut out = Vec::new();
+    let peers: Vec<_> = (0..40).map(|number| home(&format!("peer-{number}"))).collect();
+    for peer in &peers {
+        entry.handle(begun, Event::PeerUp { peer: *peer }, &mut out);
+    }
+    entry.handle(begun + Span::from_millis(20), Event::Tick, &mut out);
+    out.clear();
+    let now = begun + Span::from_millis(25);
+    entry.handle(now, Event::Cordoned(cordon(50, &[1])), &mut out);
+    for peer in peers {
+        let told = out.iter().any(|action| match action {
+            Action::Send { to, message: Message::Report(report) } => {
+                *to == peer && report.cordon.covers(HERE)
+            }
+            _ => false,
+        });
+        assert!(told, "{peer} was not told");
+    }
+}
+
+fn plan(faults: Vec<(u64, Fault)>) -> Plan {
+    Plan {
+        entries: 6,
+        data_centres: 3,
+        executors: 24,
+        rate: 20,
+        seconds: 14,
+        faults,
+        ..Plan::default()
+    }
+}
+
+fn play(plan: Plan, seed: u64) -> World {
+    let mut world = World::new(plan, seed);
+    world.play();
+    world
+}
+
+fn cordoned(data_centre: usize, ms: u64) -> Fault {
+    Fault::Cordon { data_centre, ms }
+}
+
+/// The world checks at each start that its data centre is not under cordon.
+#[test]
+fn a_calm_day_with_cordons_completes_nearly_everything() {
+    for seed in 0..4 {
+        let faults = vec![
+            (1_000, cordoned(0, 7_000)),
+            (9_000, cordoned(1, 400)),
+            (9_700, cordoned(1, 3_000)),
+        ];
+        let world = play(plan(faults), seed);
+        let completed = world.answers.get("completed").copied().unwrap_or_default();
+        let asked: u64 = world.answers.values().sum();
+        assert!(completed * 100 > asked * 95, "{:?}", world.answers);
+    }
+}
+
+#[test]
+fn two_data_centres_and_all_of_them() {
+    let faults = vec![
+        (1_000, cordoned(0, 10_000)),
+        (2_000, cordoned(1, 10_000)),
+        (8_000, cordoned(2, 2_000)),
+    ];
+    let world = play(plan(faults), 1);
+    assert!(world.answers.get("refused").copied().unwrap_or_default() > 0, "{:?}", world.answers);
+}
+
+#[test]
+fn cordons_hold_through_kills_cuts_restarts_and_lost_orders() {
+    for seed in 0..12 {
+        let mut faults = vec![(800, cordoned(0, 7_000)), (9_000, cordoned(2, 5_000))];
+        for entry in 0..6 {
+            faults.push((1_500 + 700 * entry as u64, Fault::Kill { entry }));
+            faults.push((9_200 + 300 * entry as u64, Fault::Cut { entry, ms: 900 }));
+        }
+        faults.push((3_000, Fault::Blind { entry: 2, ms: 9_000 }));
+        let mut plan = plan(faults);
+        plan.lost_orders = (seed % 2 == 1).then_some(20);
+        play(plan, seed);
+    }
+}
+
+/// All processes are killed at once under a cordon that they have to learn anew.
+#[test]
+fn a_common_stop_forgets_no_cordon() {
+    for seed in 0..4 {
+        let mut faults = vec![(500, cordoned(1, 9_000))];
+        faults.extend((0..6).map(|entry| (6_000, Fault::Kill { entry })));
+        play(plan(faults), seed);
+    }
+}
+
+#[test]
+fn an_entry_that_the_store_refuses_keeps_to_cordons() {
+    for seed in 0..4 {
+        let mut faults: Vec<_> =
+            (0..6).step_by(2).map(|entry| (400, Fault::Blind { entry, ms: 12_000 })).collect();
+        faults.push((800, cordoned(0, 5_000)));
+        faults.push((7_000, cordoned(1, 5_000)));
+        play(plan(faults), seed);
+    }
+}
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -184,16 +184,18 @@
             Fault::Kill { entry }
             | Fault::Freeze { entry, .. }
             | Fault::Cut { entry, .. }
+            | Fault::Blind { entry, .. }
             | Fault::Drain { entry } => *entry < entries,
             Fault::Dark { executor, .. }
             | Fault::Crash { executor }
             | Fault::Fails { executor, .. }
             | Fault::Slow { executor, .. }
             | Fault::Leave { executor } => *executor < executors,
+            Fault::Cordon { data_centre, .. } => *data_centre < self.zones.len(),
             Fault::GiveUp => true,
         };
         if !self.faults.iter().all(|timed| exists(&timed.fault)) {
-            return wrong("faults", "there is no such entry or executor");
+            return wrong("faults", "there is no such entry, executor or data centre");
         }
         Ok(())
     }
--- a/lab/src/world/faults.rs
+++ b/lab/src/world/faults.rs
@@ -67,6 +67,14 @@
                 self.tell_executors();
             }
             Fault::Drain { entry } => self.feed(entry, Event::Drain),
+            Fault::Cordon { data_centre, ms } => {
+                self.set_cordon(data_centre, true);
+                self.after(ms * 1_000, Step::Unfault(fault));
+            }
+            Fault::Blind { entry, ms } => {
+                self.nodes[entry].blind_until = Time(self.now.0 + ms * 1_000);
+                self.after(ms * 1_000, Step::Unfault(fault));
+            }
             Fault::GiveUp => self.give_up(),
         }
     }
@@ -90,6 +98,8 @@
         match fault {
             Fault::Fails { executor, .. } => self.slots[executor].fake.fails = false,
             Fault::Slow { executor, .. } => self.slots[executor].fake.factor = 1,
+            Fault::Cordon { data_centre, .. } => self.set_cordon(data_centre, false),
+            Fault::Blind { .. } => self.tell_cordons(),
             _ => {}
         }
     }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -4,6 +4,7 @@
 
 mod arrival;
 mod callers;
+mod cordons;
 mod faults;
 mod layout;
 mod nodes;
@@ -57,6 +58,7 @@
     entry: Option<Entry>,
     frozen_until: Time,
     cut_until: Time,
+    blind_until: Time,
     listed: bool,
     exited: bool,
 }
@@ -133,6 +135,8 @@
     links: BTreeSet<(Home, Home)>,
     callers: BTreeMap<u64, Caller>,
     revision: u64,
+    /// Data centres under cordon, with the moment since when.
+    cordons: BTreeMap<usize, Time>,
     next_job: u64,
     /// Starts by job name.
     started: BTreeMap<String, u64>,
@@ -162,6 +166,7 @@
             entry: None,
             frozen_until: Time(0),
             cut_until: Time(0),
+            blind_until: Time(0),
             listed: false,
             exited: false,
         });
@@ -188,6 +193,7 @@
             links: BTreeSet::new(),
             callers: BTreeMap::new(),
             revision: 1,
+            cordons: BTreeMap::new(),
             next_job: 0,
             started: BTreeMap::new(),
             refused: BTreeSet::new(),
--- a/lab/src/world/nodes.rs
+++ b/lab/src/world/nodes.rs
@@ -21,6 +21,8 @@
         self.after(TICK.0, Step::Tick(node, incarnation));
         let executors = self.executors();
         self.feed(node, Event::Executors(executors));
+        // An entry registers once it has read them.
+        self.feed(node, self.cordoned());
         self.tell_members();
         for other in 0..self.nodes.len() {
             self.after(20_000, Step::LinkUp(node, other));
--- a/lab/src/world/orders.rs
+++ b/lab/src/world/orders.rs
@@ -9,6 +9,9 @@
 };
 use site::{id::Incarnation, unit::Resources};
 
+/// In place of the sender's incarnation: nobody waits for the order's answer.
+const LATE: Incarnation = Incarnation(u64::MAX);
+
 impl World {
     pub(super) fn order(&mut self, node: usize, incarnation: Incarnation, order: Order) {
         let now = self.now;
@@ -32,7 +35,7 @@
             // Half of them are carried out seconds later, by nobody who waits.
             if self.random.random_bool(0.5) {
                 let late = self.random.random_range(2_000_000..6_000_000);
-                self.after(late, Step::Order(node, Incarnation(u64::MAX), order));
+                self.after(late, Step::Order(node, LATE, order));
             } else if !matches!(order, Order::Look(..)) {
                 let event = self.carry_order(slot, &order);
                 drop(event);
@@ -49,7 +52,11 @@
                 return self.after(2_000, Step::Order(node, incarnation, order));
             }
         }
+        let starts = self.starts;
         let event = self.carry_order(slot, &order);
+        if self.starts > starts && incarnation != LATE {
+            self.check_cordon(node, slot);
+        }
         self.reply(node, incarnation, event, WAY_US);
     }
 
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -107,6 +107,20 @@
         /// Which.
         entry: usize,
     },
+    /// The operator puts a data centre under cordon.
+    Cordon {
+        /// Which.
+        data_centre: usize,
+        /// For how long.
+        ms: u64,
+    },
+    /// The store tells an entry nothing of cordons until it starts anew.
+    Blind {
+        /// Which.
+        entry: usize,
+        /// For how long.
+        ms: u64,
+    },
     /// All callers leave.
     GiveUp,
 }
