Entries that keep nothing are not asked for executors

Nobody had anything to hand over.

An entry now says in its reports whether it keeps executors, and only those that may are asked. One that has not reported yet is asked. Switch: ask_keepers_only.

Test: membership.rs, both ways.

--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -321,6 +321,7 @@
             capacity: self.keeper.capacity(),
             load: [self.keeper.load(now), self.jobs.load()].into_iter().sum(),
             leaving: self.view.is_leaving(),
+            idle: self.keeper.keeps_nothing(),
             configuration: self.configuration,
             cordon: self.keeper.cordon().clone(),
             revision: self.view.revision(),
@@ -347,6 +348,7 @@
         self.clocks.entry(from).or_default().age(now, report.sent);
         self.view.see(report.revision);
         let changed = self.view.set_leaving(from, report.leaving);
+        self.view.set_idle(from, report.idle);
         self.set_cordon(now, report.cordon.clone(), Source::Peer, out);
         let begins = self.jobs.peers.report(now, from, report);
         if begins && !self.keeper.room(now).is_empty() {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -159,6 +159,11 @@
         })
     }
 
+    /// Whether there is no executor that could be handed over.
+    pub(crate) fn keeps_nothing(&self) -> bool {
+        !self.leases.values().any(Lease::is_in_use)
+    }
+
     /// Whether anything runs or waits here for a home, or an executor is kept.
     pub(crate) fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.leases.values().all(|lease| lease.runs.is_empty())
@@ -398,7 +403,8 @@
         }
         if !claims.is_empty() {
             let message = Message::Claim(claims);
-            out.extend(view.linked().map(|to| Action::Send { to, message: message.clone() }));
+            let asked = self.options.former_keepers(view).into_iter();
+            out.extend(asked.map(|to| Action::Send { to, message: message.clone() }));
         }
     }
 
@@ -415,7 +421,7 @@
             Phase::Settling { since } if self.options.is_settled(now, since, view) => {
                 lease.token = view.token(lease.tries);
                 lease.phase = Phase::Claiming { until: now + self.options.claim_timeout };
-                lease.asked = view.linked().collect();
+                lease.asked = self.options.former_keepers(view);
                 log_keep(lease, KeepChange::Claim, out);
                 claims.push(id);
                 self.end_claim(now, id, None, out);
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -136,6 +136,8 @@
     pub load: Load,
     /// It is about to stop and must keep nothing.
     pub leaving: bool,
+    /// It keeps no executor, so that it has none to hand over.
+    pub idle: bool,
     /// The version of the configuration that it knows.
     pub configuration: u64,
     /// The latest cordon that it knows, for entries that can't reach the platform's store.
@@ -149,6 +151,7 @@
     pub(crate) fn is_news(&self, old: &Report) -> bool {
         self.capacity != old.capacity
             || self.leaving != old.leaving
+            || self.idle != old.idle
             || self.configuration != old.configuration
             || !self.cordon.matches(&old.cordon)
     }
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -2,7 +2,10 @@
 
 use crate::view::View;
 use serde::{Deserialize, Serialize};
-use site::unit::{Cores, Span, Time};
+use site::{
+    id::Home,
+    unit::{Cores, Span, Time},
+};
 
 /// How much of an entry's capacity is free.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,6 +45,9 @@
     /// Longest pause for connections to the other entries to come up: whoever keeps the executor
     /// can only hand it over if it is asked.
     pub settle_limit: Span,
+    /// Whether only entries that keep executors are asked for what they know of one. After a stop of all
+    /// nobody does, and waiting for each other's answers would take longer than all else.
+    pub ask_keepers_only: bool,
     /// How long the former keeper may take to hand an executor over before it is looked at
     /// without.
     pub claim_timeout: Span,
@@ -145,6 +151,14 @@
         }
     }
 
+    /// The entries to ask for what they know of an executor.
+    pub(crate) fn former_keepers(&self, view: &View) -> Vec<Home> {
+        match self.ask_keepers_only {
+            true => view.claimable().collect(),
+            false => view.linked().collect(),
+        }
+    }
+
     /// Whether an executor that this entry has kept for itself since a moment may be claimed.
     pub(crate) fn is_settled(&self, now: Time, since: Time, view: &View) -> bool {
         let waited = now.since(since);
@@ -169,6 +183,7 @@
             settle: Span::from_millis(20),
             keeper_reserve: Cores(120),
             settle_limit: Span::from_millis(200),
+            ask_keepers_only: true,
             claim_timeout: Span::from_millis(300),
             fenced_pause: Span::from_millis(1_000),
             start_grace: Span::from_millis(40),
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -28,6 +28,8 @@
     partners: Vec<Home>,
     linked: FxHashSet<Home>,
     leaving: FxHashSet<Home>,
+    /// Connected entries that keep no executor.
+    idle: FxHashSet<Home>,
     revision: Revision,
     /// The store has listed this entry once. Before that, nobody counts on it, and it may not know
     /// of the others.
@@ -64,6 +66,7 @@
             partners: Vec::new(),
             linked: FxHashSet::default(),
             leaving: FxHashSet::default(),
+            idle: FxHashSet::default(),
             revision: Revision(0),
             joined: false,
             processors: FxHashMap::default(),
@@ -117,6 +120,7 @@
     pub(crate) fn disconnect(&mut self, peer: Home) -> bool {
         self.linked.remove(&peer);
         self.leaving.remove(&peer);
+        self.idle.remove(&peer);
         self.sort_linked();
         self.refresh()
     }
@@ -130,6 +134,19 @@
         changed && self.refresh()
     }
 
+    /// Notes whether a connected entry keeps no executor.
+    pub(crate) fn set_idle(&mut self, entry: Home, idle: bool) {
+        match idle {
+            true => self.idle.insert(entry),
+            false => self.idle.remove(&entry),
+        };
+    }
+
+    /// The connected entries that may have executors to hand over.
+    pub(crate) fn claimable(&self) -> impl Iterator<Item = Home> {
+        self.linked().filter(|home| !self.idle.contains(home))
+    }
+
     pub(crate) fn revision(&self) -> Revision {
         self.revision
     }
--- a/components/runs/tests/membership.rs
+++ b/components/runs/tests/membership.rs
@@ -10,7 +10,7 @@
     message::{Ended, Report, Yield, Yielded},
 };
 use site::{
-    id::{EndpointId, Home, WaiterId},
+    id::{EndpointId, Home, Incarnation, WaiterId},
     unit::{Revision, Span, Time},
 };
 
@@ -187,3 +187,52 @@
     }
     panic!("the run's end was never told");
 }
+
+/// What an entry with one peer sends within half a second after an executor appears: claims to the
+/// peer, and looks.
+fn claims_and_looks(idle: bool, options: Options) -> (usize, usize) {
+    let (me, peer) = (home("entry-1"), home("entry-2"));
+    let mut entry = Entry::new(me, options, Time(0));
+    let mut out = Vec::new();
+    // The store still lists a process of the peer that is gone.
+    let listed = Home { incarnation: Incarnation(6), ..peer };
+    let members = Event::Members { revision: Revision(42), members: vec![me, listed] };
+    entry.handle(Time(0), members, &mut out);
+    entry.handle(Time(0), Event::PeerUp { peer }, &mut out);
+    let report = Report { idle, ..Report::default() };
+    entry.handle(
+        Time(0),
+        Event::Message { from: peer, message: Message::Report(report) },
+        &mut out,
+    );
+    let mine: Vec<_> = (0..16).map(|number| named(&format!("i-{number}"))).collect();
+    entry.handle(Time(0), Event::Executors(mine), &mut out);
+    for step in 1..13 {
+        entry.handle(Time(step * 20_000), Event::Tick, &mut out);
+    }
+    let claims = out
+        .iter()
+        .filter(|action| matches!(action, Action::Send { message: Message::Claim(_), .. }));
+    let looks = out.iter().filter(|action| matches!(action, Action::Look(_)));
+    (claims.count(), looks.count())
+}
+
+fn named(name: &str) -> Executor {
+    Executor { id: EndpointId::of(name), name: name.into(), ..executor() }
+}
+
+/// After a stop of all nobody keeps an executor: waiting for peers that are as busy would hold up all.
+#[test]
+fn entries_that_keep_nothing_are_not_asked_for_executors() {
+    let (claims, looks) = claims_and_looks(true, Options::default());
+    assert!(claims == 0 && looks > 0, "{claims} claims, {looks} looks");
+}
+
+#[test]
+fn entries_that_may_keep_executors_are_asked_before_these_are_looked_at() {
+    let (claims, looks) = claims_and_looks(false, Options::default());
+    assert!(claims > 0 && looks == 0, "{claims} claims, {looks} looks");
+    let all = Options { ask_keepers_only: false, ..Options::default() };
+    let (claims, looks) = claims_and_looks(true, all);
+    assert!(claims > 0 && looks == 0, "{claims} claims, {looks} looks");
+}
