One connection for each pair of entries that start together

Both ends dialled, and an attempt whose first packet had met nobody came up a second later and replaced the connection that was in use.

Tried and not kept: ending an attempt whenever the other end connects.

--- a/components/link/src/node/accept.rs
+++ b/components/link/src/node/accept.rs
@@ -24,7 +24,9 @@
         let (inner, pending) = (inner.clone(), pending.clone());
         smol::spawn(async move {
             let address = incoming.remote_address();
+            inner.arriving.lock().insert(address);
             let greeted = admit(&inner, incoming).await;
+            inner.arriving.lock().remove(&address);
             pending.fetch_sub(1, Relaxed);
             match greeted {
                 Ok(greeted) => settle(inner, greeted).await,
--- a/components/link/src/node/dial.rs
+++ b/components/link/src/node/dial.rs
@@ -8,10 +8,16 @@
     within,
 };
 use crate::{Code, Error, tls};
+use futures_lite::future;
 use parking_lot::Mutex;
 use site::id::EntryId;
 use smol::{Task, Timer};
-use std::{marker::PhantomData, net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    marker::PhantomData,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 /// Keeps a connection to one entry. Dropping it stops further attempts, and no connection that
 /// is up.
@@ -23,9 +29,15 @@
 }
 
 impl<M: Payload> Dial<M> {
-    pub(super) fn start(inner: Arc<Inner<M>>, entry: EntryId, address: SocketAddr) -> Self {
+    /// Makes no attempt before `patience` is over.
+    pub(super) fn start(
+        inner: Arc<Inner<M>>,
+        entry: EntryId,
+        address: SocketAddr,
+        patience: Duration,
+    ) -> Self {
         let address = Arc::new(Mutex::new(address));
-        let task = smol::spawn(keep(inner, entry, address.clone()));
+        let task = smol::spawn(keep(inner, entry, address.clone(), patience));
         Self { address, _task: task, payload: PhantomData }
     }
 
@@ -34,11 +46,22 @@
     }
 }
 
-async fn keep<M: Payload>(inner: Arc<Inner<M>>, entry: EntryId, address: Arc<Mutex<SocketAddr>>) {
+async fn keep<M: Payload>(
+    inner: Arc<Inner<M>>,
+    entry: EntryId,
+    address: Arc<Mutex<SocketAddr>>,
+    patience: Duration,
+) {
     let options = &inner.options;
+    if patience > Duration::ZERO {
+        within(patience, inner.table.wait_for(entry)).await;
+    }
     let mut backoff = Backoff::new(options.min_backoff, options.max_backoff);
     loop {
         let target = *address.lock();
+        if inner.arriving.lock().contains(&target) {
+            within(options.handshake_timeout, inner.table.wait_for(entry)).await;
+        }
         let session = match inner.table.of_entry(entry).into_iter().next() {
             Some(session) => Some(session),
             None => attempt(&inner, entry, target).await,
@@ -54,16 +77,20 @@
     }
 }
 
-/// Connects once. Returns the connection if it came up.
+/// Connects once, unless the other end does first and its connection is the one that would stay of two:
+/// all that was sent over the one that is closed again is lost. Returns the connection if one came up.
 async fn attempt<M: Payload>(
     inner: &Arc<Inner<M>>,
     entry: EntryId,
     address: SocketAddr,
 ) -> Option<Arc<Session>> {
-    match connect(inner, entry, address).await {
-        Ok(greeted) => settle(inner, greeted).await,
-        Err(Error::Closed(Code::Duplicate)) => None,
-        Err(error) => {
+    let by_other = async { Made::ByOther(preferred(inner, entry).await) };
+    let here = async { Made::Here(connect(inner, entry, address).await) };
+    match future::or(by_other, here).await {
+        Made::ByOther(session) => Some(session),
+        Made::Here(Ok(greeted)) => settle(inner, greeted).await,
+        Made::Here(Err(Error::Closed(Code::Duplicate))) => None,
+        Made::Here(Err(error)) => {
             inner.counters.failed();
             tracing::debug!(%entry, %address, %error, "can't connect");
             let _ = inner.incoming.send(Incoming::Failed { address, error }).await;
@@ -72,6 +99,21 @@
     }
 }
 
+/// Waits for a connection that `entry` made and that stays even if this end makes one, too.
+async fn preferred<M>(inner: &Inner<M>, entry: EntryId) -> Arc<Session> {
+    let session = inner.table.wait_for(entry).await;
+    match session.peer() < inner.options.home {
+        true => session,
+        false => future::pending().await,
+    }
+}
+
+/// Which end made a connection.
+enum Made {
+    ByOther(Arc<Session>),
+    Here(Result<Greeted, Error>),
+}
+
 async fn connect<M>(
     inner: &Inner<M>,
     entry: EntryId,
--- a/components/link/src/node/mod.rs
+++ b/components/link/src/node/mod.rs
@@ -16,7 +16,7 @@
 use futures_lite::future;
 use parking_lot::{Mutex, RwLock};
 use quinn::{ClientConfig, Endpoint, EndpointConfig, TransportConfig};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use serde::{Serialize, de::DeserializeOwned};
 use site::id::{EntryId, Home};
 use smol::Timer;
@@ -79,6 +79,8 @@
     client: RwLock<ClientConfig>,
     table: Table,
     dials: Mutex<FxHashMap<EntryId, dial::Dial<M>>>,
+    /// Where others are just connecting from.
+    arriving: Mutex<FxHashSet<SocketAddr>>,
     counters: Counters,
     incoming: async_channel::Sender<Incoming<M>>,
 }
@@ -104,6 +106,7 @@
             transport,
             client,
             dials: Mutex::default(),
+            arriving: Mutex::default(),
             counters: Counters::default(),
             incoming,
         });
@@ -114,6 +117,16 @@
     /// Keeps a connection to `entry`, which listens on `address`, until [`Node::forget`]. An
     /// entry that has a connection already keeps it; the address counts from the next attempt on.
     pub fn connect(&self, entry: EntryId, address: SocketAddr) {
+        self.keep(entry, address, Duration::ZERO);
+    }
+
+    /// Like [`Node::connect`], but `entry` is about to connect to this node: it is left to do so for
+    /// `patience`, so that not both ends make a connection of which one is closed again.
+    pub fn expect(&self, entry: EntryId, address: SocketAddr, patience: Duration) {
+        self.keep(entry, address, patience);
+    }
+
+    fn keep(&self, entry: EntryId, address: SocketAddr, patience: Duration) {
         if entry == self.inner.options.home.entry {
             return;
         }
@@ -121,7 +134,8 @@
         match dials.get(&entry) {
             Some(dial) => dial.set_address(address),
             None => {
-                dials.insert(entry, dial::Dial::start(self.inner.clone(), entry, address));
+                dials
+                    .insert(entry, dial::Dial::start(self.inner.clone(), entry, address, patience));
             }
         }
     }
--- a/components/link/src/node/session.rs
+++ b/components/link/src/node/session.rs
@@ -11,7 +11,11 @@
 use quinn::{Connection, RecvStream, SendStream};
 use serde::Serialize;
 use site::id::Home;
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use wire::{Decoder, Hello};
 
 /// One connection to one peer.
@@ -20,6 +24,7 @@
     hello: Hello,
     /// This end made the connection.
     dialled: bool,
+    since: Instant,
     connection: Connection,
     outbox: Outbox,
     /// Closed at the end; carries nothing.
@@ -37,6 +42,7 @@
         Self {
             hello,
             dialled,
+            since: Instant::now(),
             connection,
             outbox: Outbox::new(options.limit, capacity.max(options.limit.bytes())),
             end: async_channel::bounded(1),
@@ -55,6 +61,11 @@
         self.dialled
     }
 
+    /// Time since the hellos were exchanged.
+    pub(super) fn age(&self) -> Duration {
+        self.since.elapsed()
+    }
+
     pub(super) fn is_open(&self) -> bool {
         self.connection.close_reason().is_none()
     }
