Weights follow the processor where large entries are too few; far partners keep executors

Two consequences of few keepers for deployments of other shapes, not measured apart: a data centre whose large entries have less than an eighth of its processor beyond the reserve shares executors out by processor instead, so that one entry of a quarter core is not left with all of them beside twenty small ones. And in sites of more than 48 entries connections between data centres now have an entry with weight at one end: tasks can be sent to such entries only.

Tests: membership/tests/weights.rs, mesh.rs.

--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -17,6 +17,7 @@
 //! * An entry of another data centre that exchanges no heartbeats with this one is believed live
 //!   while it is registered, no connection to it failed, and its data centre is heard from.
 
+pub mod keepers;
 pub mod mesh;
 pub mod options;
 pub mod rendezvous;
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -1,7 +1,11 @@
 //! The mesh of connections between entries.
 
-use membership::mesh::{FAR_PARTNERS, FULL_MESH, partners};
-use site::id::{DataCentreId, EntryId, Home, Incarnation};
+use membership::mesh::{FAR_PARTNERS, FULL_MESH, partners, weighted_partners};
+use site::{
+    id::{DataCentreId, EntryId, Home, Incarnation},
+    unit::Weight,
+};
+use std::collections::BTreeMap;
 
 /// Entries of data centres of these sizes.
 fn site(sizes: &[usize]) -> Vec<Home> {
@@ -60,3 +64,41 @@
         assert_eq!(partners(*me, &homes).len(), 31 + 8 * FAR_PARTNERS);
     }
 }
+
+/// The first two entries of each data centre have weight.
+fn weighed(homes: &[Home]) -> Vec<(Home, Weight)> {
+    let mut seen: BTreeMap<DataCentreId, u32> = BTreeMap::new();
+    let weigh = |home: &Home| {
+        let count = seen.entry(home.data_centre).or_default();
+        *count += 1;
+        (*home, Weight(u32::from(*count <= 2)))
+    };
+    homes.iter().map(weigh).collect()
+}
+
+#[test]
+fn both_ends_of_a_pair_know_it_where_few_entries_have_weight() {
+    for sizes in [&[40, 40, 21][..], &[60, 2, 1], &[32; 9], &[5, 7, 90, 3]] {
+        let homes = weighed(&site(sizes));
+        for (me, _) in &homes {
+            for other in weighted_partners(*me, &homes) {
+                let back = weighted_partners(other, &homes);
+                assert!(back.contains(me), "{sizes:?}: {me} and {other}");
+            }
+        }
+    }
+}
+
+#[test]
+fn each_entry_reaches_entries_with_weight_in_each_data_centre() {
+    let homes = weighed(&site(&[40, 37, 24, 3]));
+    for (me, _) in &homes {
+        let partners = weighted_partners(*me, &homes);
+        for place in (0..4).map(DataCentreId).filter(|place| *place != me.data_centre) {
+            let there = |home: &Home| home.data_centre == place;
+            let keepers = homes.iter().filter(|(home, weight)| there(home) && weight.0 > 0);
+            let linked = keepers.filter(|(home, _)| partners.contains(home)).count();
+            assert!(linked >= FAR_PARTNERS, "{me} has {linked} in {place}");
+        }
+    }
+}
--- a/components/membership/tests/weights.rs
+++ b/components/membership/tests/weights.rs
@@ -1,10 +1,10 @@
 //! Endpoints that are shared out by weight.
 
-use membership::rendezvous;
+use membership::{keepers, rendezvous};
 use proptest::prelude::*;
 use site::{
     id::{DataCentreId, EndpointId, EntryId, Home, Incarnation},
-    unit::Weight,
+    unit::{Cores, Weight},
 };
 
 const ENDPOINTS: usize = 4_000;
@@ -75,3 +75,38 @@
         }
     }
 }
+
+fn weigh_by_processor(cores: &[u32]) -> Vec<u32> {
+    let homes: Vec<_> =
+        cores.iter().enumerate().map(|(n, cores)| (home(n as u64), Cores(*cores))).collect();
+    let weighed = keepers::weigh(&homes, Cores(120));
+    weighed.into_iter().map(|(_, weight)| weight.0).collect()
+}
+
+#[test]
+fn weights_follow_what_entries_have_beyond_the_reserve() {
+    assert_eq!(weigh_by_processor(&[500, 120, 120]), [380, 0, 0]);
+    assert_eq!(weigh_by_processor(&[250, 250]), [130, 130]);
+}
+
+#[test]
+fn where_large_entries_are_too_few_weights_follow_the_processor() {
+    let mut cores = vec![120; 20];
+    cores.push(250);
+    assert_eq!(weigh_by_processor(&cores), cores);
+    assert_eq!(weigh_by_processor(&[100, 50]), [100, 50]);
+}
+
+#[test]
+fn where_no_processor_is_known_weights_are_equal() {
+    assert_eq!(weigh_by_processor(&[0, 0, 0]), [1, 1, 1]);
+}
+
+#[test]
+fn each_data_centre_is_weighed_by_itself() {
+    let far = Home { data_centre: DataCentreId(2), ..home(9) };
+    let homes = [(home(1), Cores(500)), (home(2), Cores(120)), (far, Cores(120))];
+    let weights: Vec<_> =
+        keepers::weigh(&homes, Cores(120)).into_iter().map(|(_, weight)| weight.0).collect();
+    assert_eq!(weights, [380, 0, 120]);
+}
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -1,7 +1,7 @@
 //! Which entries there are, and which of them keeps an executor.
 
 use crate::Executor;
-use membership::{mesh, rendezvous};
+use membership::{keepers, mesh, rendezvous};
 use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{DataCentreId, EntryId, Home, Incarnation},
@@ -84,7 +84,7 @@
         self.revision = self.revision.max(revision);
         self.joined |= members.contains(&self.me);
         if members != self.listed {
-            self.partners = mesh::partners(self.me, &members);
+            self.partners = mesh::weighted_partners(self.me, &self.weigh(&members));
             self.listed = members;
         }
         self.refresh()
@@ -240,29 +240,24 @@
     }
 
     fn share_out(&mut self) {
-        let weigh = |home: &Home| {
-            let cores = self.processors.get(&home.entry).copied().unwrap_or_default();
-            (stable(home), Weight(cores.0.saturating_sub(self.reserve.0)))
-        };
-        let weighed = self.keepers.iter().map(weigh).collect();
+        let weighed = self.weigh(&self.keepers);
+        let weighed = weighed.into_iter().map(|(home, weight)| (stable(&home), weight)).collect();
         self.shares = Shares::new(self.me.data_centre, weighed);
     }
+
+    fn weigh(&self, homes: &[Home]) -> Vec<(Home, Weight)> {
+        let cores = |home: &Home| self.processors.get(&home.entry).copied().unwrap_or_default();
+        let homes: Vec<_> = homes.iter().map(|home| (*home, cores(home))).collect();
+        keepers::weigh(&homes, self.reserve)
+    }
 }
 
 impl Shares {
     fn new(own: DataCentreId, all: Vec<(Home, Weight)>) -> Self {
         let near = all.iter().filter(|(home, _)| home.data_centre == own).copied().collect();
         let staffed = all.iter().map(|(home, _)| home.data_centre).collect();
-        Self { near: or_even(near), all: or_even(all), staffed }
-    }
-}
-
-/// The same weights, or equal ones if there is none at all.
-fn or_even(mut homes: Vec<(Home, Weight)>) -> Vec<(Home, Weight)> {
-    if homes.iter().all(|(_, weight)| weight.0 == 0) {
-        homes.iter_mut().for_each(|(_, weight)| *weight = Weight(1));
+        Self { near, all, staffed }
     }
-    homes
 }
 
 /// An entry without its incarnation.
