Few entries tell a peer of a configuration that it lacks

A peer is now told once it has lagged behind for 400 ms, by two entries first and twice as many each 200 ms after, so that all have told it within two seconds if it is needed.

--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -142,9 +142,10 @@
         let _ = self.exited.1.recv().await;
     }
 
-    /// Sends a message to all peers that know no configuration as new as this.
+    /// Sends a message with a configuration to peers that know none as new and that this entry is to tell.
     pub fn tell_behind(&self, version: u64, message: &Message) {
-        let behind = self.core.lock().entry.behind(version);
+        let now = self.clock.now();
+        let behind = self.core.lock().entry.take_behind(now, version);
         for peer in behind {
             self.send(peer, message);
         }
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -7,6 +7,7 @@
     home::Jobs,
     job::Task,
     keeper::Keeper,
+    laggards::Laggards,
     message::{Ended, Moved, Report},
     reports::{Audience, Reports},
     view::View,
@@ -47,6 +48,7 @@
     /// The view has changed since then.
     unreconciled: bool,
     reports: Reports,
+    laggards: Laggards,
     exited: bool,
 }
 
@@ -66,6 +68,7 @@
             reconciled: now,
             unreconciled: false,
             reports: Reports::default(),
+            laggards: Laggards::default(),
             exited: false,
         }
     }
@@ -92,10 +95,10 @@
         self.view.is_leaving()
     }
 
-    /// Peers that know of no configuration as new as this.
-    pub fn behind(&self, version: u64) -> Vec<Home> {
-        let behind = self.jobs.peers.configurations().filter(|(_, known)| *known < version);
-        behind.map(|(home, _)| home).collect()
+    /// Peers that know of no configuration as new as this and are to be told it by this entry now.
+    pub fn take_behind(&mut self, now: Time, version: u64) -> Vec<Home> {
+        let known = self.jobs.peers.configurations();
+        self.laggards.take_due(now, self.me, version, known)
     }
 
     fn take(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
--- a/components/runs/src/lib.rs
+++ b/components/runs/src/lib.rs
@@ -19,6 +19,7 @@
 mod home;
 pub mod job;
 mod keeper;
+mod laggards;
 pub mod load;
 pub mod message;
 pub mod options;
