--- a/components/membership/src/mesh.rs
+++ b/components/membership/src/mesh.rs
@@ -6,8 +6,8 @@
 };
 use std::collections::BTreeMap;
 
-/// Up to so many entries, each is connected to every other one. A connection takes 4.4 ms to make at
-/// a quarter of a core, so that all of an entry's take a fifth of a second then.
+/// Up to so many entries, each is connected to every other one. More connections than that take an
+/// entry too long to make when it starts.
 pub const FULL_MESH: usize = 48;
 
 /// Connections that each entry of the larger of two data centres has to the other one, in a site
--- a/components/runner/src/journal.rs
+++ b/components/runner/src/journal.rs
@@ -13,9 +13,7 @@
 };
 use telemetry::Log;
 
-/// Usual lines a second that are written. The most that an entry of 0.25 cores wrote in a second,
-/// in a burst of three times the usual traffic, was 933 lines; the mean of that run was 237. What
-/// tells of a failure is written beyond it.
+/// Usual lines a second that are written. What tells of a failure is written beyond it.
 const LINES_PER_SECOND: u32 = 1_000;
 
 /// The span that the limit counts for.
--- a/components/runs/src/home/admission.rs
+++ b/components/runs/src/home/admission.rs
@@ -1,8 +1,7 @@
 //! Whether a job is taken in or turned away at once.
 //!
 //! Answers lasting overload. Without it jobs wait until they are almost late, nearly all of them do,
-//! and what starts then ends late: at 136% offered, 0.39 of what could be earned is, and 0.16 of what
-//! short wide jobs could earn. A job is turned away if those that wait already would take up the
+//! and what starts then ends late, short wide jobs first. A job is turned away if those that wait already would take up the
 //! executors for longer than `LIMIT_PERCENT` of the slack of the most pressing jobs that come. One
 //! limit for all, so that no kind of job is crowded out by others that can wait for longer.
 
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -109,7 +109,7 @@
     }
 
     /// Whether some task has run, or surely runs. Such jobs go first, so that what has run is not in
-    /// vain: worth 0.812 against 0.802, better on 10 of 12 paired days with bursts.
+    /// vain.
     pub(crate) fn has_begun(&self, now: Time) -> bool {
         let runs = |at: Time| now.since(at) > START_TIME && self.placed().next().is_some();
         self.ran || self.placed_at.is_some_and(runs)
--- a/components/runs/src/keeper/hold.rs
+++ b/components/runs/src/keeper/hold.rs
@@ -18,8 +18,8 @@
 const DOUBT: Span = Span::from_secs(2);
 
 /// A start that was neither answered nor listed is stopped after so many times the time in which its
-/// answer is due: a look is sent after one, and another one if that is not answered either. With a
-/// stop after one, 112 of 150 tasks that went wrong while a fifth of all answers were lost had worked.
+/// answer is due: a look is sent after one, and another one if that is not answered either. Most of the
+/// runs whose answers are lost have begun.
 const UNHEARD: u64 = 3;
 
 /// Looks in a row without an answer after which an executor counts as silent in the log.
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -1,11 +1,15 @@
 //! The executors that this entry keeps, and the tasks that wait for them.
 
+mod handover;
 mod hold;
 mod lease;
 mod queue;
+mod room;
 mod start;
 mod stop;
 
+pub(crate) use room::Offer;
+
 use lease::{Lease, Live, Looking, Phase, State};
 use queue::{Queue, Queued};
 
@@ -13,15 +17,13 @@
     Action, Cordon, Executor, Job, Message, Options,
     action::{Decision, Ending, KeepChange},
     job::Run,
-    load::{self, Load},
-    message::{self, End, Moved, Placement, Room, Yield, Yielded},
-    options::Supply,
+    message::{self, End, Placement},
     view::View,
 };
 use health::Monitor;
 use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
-    id::{EndpointId, Home, ServiceId},
+    id::{EndpointId, ServiceId},
     unit::{Resources, Span, Time},
 };
 
@@ -58,15 +60,6 @@
     ends: Vec<message::Ended>,
 }
 
-/// What this entry's executors offer a job that comes in.
-#[derive(Debug)]
-pub(crate) struct Offer {
-    pub(crate) load: Load,
-    pub(crate) room: Room,
-    /// All executors that could run it, here and elsewhere, are under cordon.
-    pub(crate) is_cordoned: bool,
-}
-
 impl Keeper {
     pub(crate) fn new(options: Options) -> Self {
         Self {
@@ -90,80 +83,6 @@
         std::mem::take(&mut self.ends)
     }
 
-    /// What there is for a job that comes in.
-    pub(crate) fn offer(&self, now: Time, job: &Job) -> Offer {
-        Offer { load: self.load(now), room: self.room(now), is_cordoned: self.is_cordoned(job) }
-    }
-
-    /// What may be sent here now.
-    pub(crate) fn room(&self, now: Time) -> Room {
-        let usable: Vec<_> = self.usable(now).collect();
-        if usable.is_empty() {
-            return Room::default();
-        }
-        let free = usable.iter().map(|lease| lease.free().cores.0);
-        let mut cores: Vec<_> = free.filter(|free| *free > 0).collect();
-        cores.sort_unstable();
-        let mut room = Room { cores, ahead: self.options.queue_ahead };
-        room.take(self.typical.cores.0, self.queue.len() as u32);
-        room
-    }
-
-    /// Tasks of usual size that run at one time on the executors in use, under cordon or not.
-    pub(crate) fn capacity(&self) -> u32 {
-        let ready = self.leases.values().filter(|lease| lease.phase == Phase::Ready);
-        ready.map(|lease| lease.executor.capacity.count(&self.typical)).sum()
-    }
-
-    /// The work that waits here, and how fast the executors in use get through it.
-    pub(crate) fn load(&self, now: Time) -> Load {
-        let size = u64::from(self.typical.cores.0);
-        let fitting = |resources: Resources| u64::from(resources.count(&self.typical)) * size;
-        let usable = self.leases.values().filter(|lease| self.may_use(now, lease));
-        let (free, capacity) = usable.fold((0, 0), |(free, capacity), lease| {
-            (free + fitting(lease.free()), capacity + fitting(lease.executor.capacity))
-        });
-        let unmeasured = if self.run_time == Span::ZERO { capacity } else { 0 };
-        let turnover = load::per_second(capacity, self.run_time);
-        Load { waiting: self.queue.cores(), free, turnover, unmeasured }
-    }
-
-    /// How much of the capacity of executors in use is free.
-    pub(crate) fn supply(&self, now: Time) -> Supply {
-        let (free, capacity) = self.usable(now).fold((0, 0), |(free, capacity), lease| {
-            let cores = |resources: Resources| u64::from(resources.cores.0);
-            (free + cores(lease.free()), capacity + cores(lease.executor.capacity))
-        });
-        self.options.supply(free, capacity)
-    }
-
-    /// Whether an executor gets tasks now, or once it has been looked at.
-    fn may_use(&self, now: Time, lease: &Lease) -> bool {
-        let is_coming = matches!(lease.phase, Phase::Claiming { .. } | Phase::Looking);
-        self.is_named(lease.executor.service)
-            && self.is_open(&lease.executor)
-            && (lease.is_usable(now) || is_coming && !lease.executor.leaving && lease.silent == 0)
-    }
-
-    /// Whether tasks may be started at an executor, as far as its health and the operator go.
-    fn is_open(&self, executor: &Executor) -> bool {
-        self.health.is_open(executor.id) && !self.cordon.covers(executor.data_centre)
-    }
-
-    /// Executors that may get a task now if they have room for it.
-    fn usable(&self, now: Time) -> impl Iterator<Item = &Lease> {
-        self.leases.values().filter(move |lease| {
-            lease.is_usable(now)
-                && self.is_named(lease.executor.service)
-                && self.is_open(&lease.executor)
-        })
-    }
-
-    /// Whether there is no executor that could be handed over.
-    pub(crate) fn keeps_nothing(&self) -> bool {
-        !self.leases.values().any(Lease::is_in_use)
-    }
-
     /// Whether anything runs or waits here for a home, or an executor is kept.
     pub(crate) fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.leases.values().all(|lease| lease.runs.is_empty())
@@ -282,100 +201,6 @@
         }
     }
 
-    /// Hands executors over to another entry that now keeps them.
-    pub(crate) fn hand_over(
-        &mut self,
-        now: Time,
-        to: Home,
-        executors: &[EndpointId],
-        out: &mut Vec<Action>,
-    ) {
-        let (kept, others): (Vec<_>, Vec<_>) =
-            executors.iter().partition(|id| self.leases.get(id).is_some_and(Lease::is_in_use));
-        out.push(Action::Send { to, message: Message::Disclaim(others) });
-        for id in &kept {
-            let Some(lease) = self.leases.get(id) else { continue };
-            let message = Message::Yield(Yield {
-                executor: *id,
-                token: lease.token,
-                acknowledged: lease.acknowledged,
-                runs: lease.runs.iter().filter_map(|(run, live)| yielded(now, run, live)).collect(),
-            });
-            out.push(Action::Send { to, message });
-            self.forget(*id, KeepChange::Yield, out);
-        }
-    }
-
-    /// Takes over what a former keeper knew of an executor. Returns the runs that it had there.
-    pub(crate) fn take_over(
-        &mut self,
-        now: Time,
-        view: &View,
-        yielded: Yield,
-        out: &mut Vec<Action>,
-    ) -> Vec<Moved> {
-        let Some(lease) = self.leases.get_mut(&yielded.executor) else { return Vec::new() };
-        if !matches!(lease.phase, Phase::Claiming { .. } | Phase::Looking) {
-            return Vec::new();
-        }
-        lease.token = lease.token.max(view.token_above(yielded.token));
-        lease.acknowledged = lease.acknowledged.max(yielded.acknowledged);
-        lease.inherit(now, self.options.lease);
-        let mut moved = Vec::new();
-        for entry in yielded.runs {
-            let live = Live {
-                task: Some(entry.task),
-                needs: entry.needs,
-                estimate: entry.estimate,
-                give_up: now + entry.give_up_in,
-                sent: Time(now.0.saturating_sub(entry.running_for.0)),
-                state: State::Unsure { since: now },
-                seen: None,
-                stop: None,
-            };
-            self.health.may_use(now, yielded.executor);
-            moved.push(Moved { task: entry.task, run: entry.run.number });
-            lease.insert(entry.run, live);
-        }
-        if matches!(lease.phase, Phase::Claiming { .. }) {
-            self.begin_look(now, yielded.executor, out);
-        }
-        moved
-    }
-
-    /// Another entry does not keep these executors, or can't be asked.
-    pub(crate) fn disclaimed(
-        &mut self,
-        now: Time,
-        from: Home,
-        executors: &[EndpointId],
-        out: &mut Vec<Action>,
-    ) {
-        executors.iter().for_each(|id| self.end_claim(now, *id, Some(from), out));
-    }
-
-    /// The connection to an entry is lost that may have been asked for executors.
-    pub(crate) fn peer_lost(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
-        let asked = |lease: &&Lease| lease.asked.contains(&peer);
-        let ids: Vec<_> = self.leases.values().filter(asked).map(|l| l.executor.id).collect();
-        self.disclaimed(now, peer, &ids, out);
-    }
-
-    /// Notes who has answered a claim; without anybody left to ask, the executor is looked at.
-    fn end_claim(
-        &mut self,
-        now: Time,
-        id: EndpointId,
-        answered: Option<Home>,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(lease) = self.leases.get_mut(&id) else { return };
-        lease.asked.retain(|home| Some(*home) != answered);
-        if matches!(lease.phase, Phase::Claiming { .. }) && lease.asked.is_empty() {
-            self.begin_look(now, id, out);
-        }
-    }
-
     /// The process did not run for a while: its leases may have lapsed and what waits is stale.
     pub(crate) fn pause(&mut self) {
         for queued in self.queue.drain() {
@@ -465,18 +290,6 @@
     }
 }
 
-/// What another keeper has to know of a run; nothing of one that is unknown here.
-fn yielded(now: Time, run: &Run, live: &Live) -> Option<Yielded> {
-    Some(Yielded {
-        run: run.clone(),
-        task: live.task?,
-        needs: live.needs,
-        estimate: live.estimate,
-        running_for: now.since(live.sent),
-        give_up_in: live.give_up.since(now),
-    })
-}
-
 fn log_keep(lease: &Lease, change: KeepChange, out: &mut Vec<Action>) {
     out.push(Action::Log(Decision::Keep {
         executor: lease.executor.name.clone(),
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -59,22 +59,20 @@
     /// A run that takes this many times its estimate is stopped: tasks may stand still.
     pub overdue_factor: u64,
     /// The same where other tasks have ended well since the run began, so that the estimate is
-    /// likelier wrong than the executor: worth 0.867 against 0.863 and 0.793 against 0.786, mean of
-    /// 12 paired days at two sites, better on 17 of 24.
+    /// likelier wrong than the executor.
     pub overdue_factor_working: u64,
     /// Longest time that an executor takes to carry a stop out. Set by the platform.
     pub stop_time: Span,
     /// Added to the limit of a run's time, for short tasks.
     pub overdue_margin: Span,
     /// Tasks that a keeper queues beyond its room. None: what waits there can't go where room is
-    /// found next. Worth 0.594 against 0.586 with one, in virtual overload.
+    /// found next.
     pub queue_ahead: u32,
     /// How long a keeper holds a task without starting it before it hands it back; its home may
-    /// know of room elsewhere. As long as it takes 18 busy slots to free one.
+    /// know of room elsewhere.
     pub queue_hold: Span,
     /// How long a job waits for its first start before it is refused, as a part of the time until its
-    /// answer is late. Earlier refusals leave room for jobs that can still be in time: worth 0.808
-    /// against 0.796 at 110 and 0.792 at 170, mean of eight paired days.
+    /// answer is late. Earlier refusals leave room for jobs that can still be in time.
     pub patience_percent: u64,
     /// What a task is taken to last when its latest start is reckoned, as a part of its estimate.
     /// Estimates are off by up to 40%, and some executors are slower.
@@ -87,7 +85,7 @@
     /// Whether jobs are turned away at once while those that wait already are too many.
     pub admission: bool,
     /// Whether a job that all known room suffices for is taken in whatever waits. What waits can't use
-    /// such room: its tasks are larger. Worth 0.571 against 0.556 with long tasks.
+    /// such room: its tasks are larger.
     pub fill: bool,
     /// Least time between two reports of a keeper's room to the peers near it.
     pub report_interval: Span,
@@ -95,7 +93,7 @@
     /// without knowing of each change, and a report costs both ends the same as in a small one.
     pub report_interval_share: Span,
     /// Least time between two reports to a peer whose jobs wait: room that it does not know of stays
-    /// empty. 4 ms against 15 is worth 0.586 against 0.567 in virtual overload.
+    /// empty.
     pub report_interval_waiting: Span,
     /// Peers that have tasks of the entry get a report, and those near it a repeated one, after this
     /// time.
@@ -108,8 +106,8 @@
     /// Room is ample while this part of the capacity of an entry's executors is free: changes are
     /// then told to near peers after `report_refresh` only. Above 100 it never is.
     pub ample_percent: u64,
-    /// Peers that hear of each change of a keeper's room. Each report costs both sides about 10
-    /// us, so that reports of each change to all 34 peers took half of what an entry used.
+    /// Peers that hear of each change of a keeper's room. Reports of each change to all of a large
+    /// site would take much of an entry's processor.
     pub near_peers: usize,
     /// A process that did not run for this long has lost its leases and maybe its callers.
     pub pause_limit: Span,
--- a/components/runs/src/reports.rs
+++ b/components/runs/src/reports.rs
@@ -1,6 +1,6 @@
 //! Which peers are told of this entry's room and load, and when.
 //!
-//! Each report costs both ends some 10 us, so that most go to few: peers whose jobs wait hear of each
+//! Each report costs both ends time, so that most go to few: peers whose jobs wait hear of each
 //! change at once, those near the entry somewhat later, the others rarely.
 
 use crate::{Options, message::Report, options::Supply};
