--- a/capacity/src/page/mod.rs
+++ b/capacity/src/page/mod.rs
@@ -12,6 +12,9 @@
 use model::{FULL, Model, TODAY};
 use text::{Table, number};
 
+/// What the users' bench showed of `primrosestep-node` at three sizes. Written by hand from its report.
+const SWEEP: &str = include_str!("../../sweep.md");
+
 /// The page.
 ///
 /// # Errors
@@ -22,6 +25,7 @@
     let sections = [
         head(slopes),
         sizes(),
+        SWEEP.to_owned(),
         entries::render(slopes)?,
         budgets::render(&today, &full)?,
         roles::rows(&today, &full)?,
