Executors may begin a new life under the name that they had; tasks that crash executors are given up

Cause: an executor that crashes may come back under its id. Nothing told its lives apart: ends of the new life were taken for known ones until their numbers passed the old ones, and its clock, which starts anew, was never believed, so that starts carried deadlines of the old clock and the executor's lease lasted as long as the platform lets one. A task that crashes executors was tried for as long as its job had time; each crash ends all that runs beside it.

Lives are told apart by the birth in lists and registrations, whichever comes first. A new life is looked at before its next use, idle executors whose lives share a name are looked at every 700 ms, and one whose clock was not read for 1.5 s gets no start. After two executors were lost under one task its job is answered as failed. Executors that start whatever they are told get nothing beside a run whose size is not known.

Ruled out: bounding each start's deadline by the age of the clock's reading, since the executor is idle just when its clock is unknown.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -89,6 +89,16 @@
         /// How often.
         failures: u64,
     },
+    /// Executors crashed or fell silent under one of its tasks.
+    #[display(
+        "failed: {executors} executors were lost under task {index}, which may be what crashes them"
+    )]
+    ExecutorsLost {
+        /// Which.
+        index: u64,
+        /// How many.
+        executors: usize,
+    },
     /// Its caller left.
     #[display("its caller left before the answer")]
     CallerLeft,
@@ -249,6 +259,13 @@
             waiting: line.number("waiting"),
             room: line.number("room"),
         },
+        ("failed", "executors-lost") => {
+            let lost = |line: &&&Line| line.text("end") == "executor-lost";
+            let index = lines.iter().rev().find(lost).map_or(0, |line| line.number("index"));
+            let of_task = |line: &&&Line| line.number("index") == index;
+            let executors = lines.iter().filter(lost).filter(of_task).count();
+            Cause::ExecutorsLost { index, executors }
+        }
         ("failed", _) => {
             let failed = lines.iter().rev().find(|line| line.text("end") == "failed");
             Cause::Failed {
--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -80,6 +80,21 @@
     assert_eq!(cause(&[ADMIT, START, ended, task, answer]), "failed: task 1 failed 2 times");
 }
 
+#[test]
+fn a_task_that_crashes_its_executors_is_told() {
+    let line = |time: u64, run: u64, again: bool| {
+        format!(
+            r#"{{"time_ms":{time},"node":"entry-1","decision":"task-ended","job":"JOB","index":1,"run":{run},"end":"executor-lost","failures":0,"again":{again}}}"#
+        )
+    };
+    let answer = r#"{"time_ms":1900,"node":"entry-1","decision":"answer","job":"JOB","answer":"failed","why":"executors-lost","after":"900ms","waited":"1ms","late_by":"0s","waiting":0,"room":3}"#;
+    let (first, second) = (line(1_400, 1, true), line(1_900, 2, false));
+    assert_eq!(
+        cause(&[ADMIT, START, &first, &second, answer]),
+        "failed: 2 executors were lost under task 1, which may be what crashes them"
+    );
+}
+
 #[test]
 fn a_lost_entry_is_named_by_its_next_start() {
     let start = r#"  1.9 entry-1 {"timestamp":"1970-01-01T00:00:01.900000Z","level":"INFO","fields":{"message":"starting","name":"entry-1"},"target":"adapter::process"}"#;
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -294,6 +294,8 @@
     AllDone,
     /// A task failed as often as it may.
     Failures,
+    /// Executors crashed under one of its tasks.
+    ExecutorsLost,
     /// It could not start in time.
     NoRoomInTime,
     /// Too much waited when it came.
@@ -334,6 +336,8 @@
     Fenced,
     /// It is gone from the platform's list, or another life answered.
     Gone,
+    /// It has begun a new life.
+    Reborn,
     /// It does not answer.
     Silent,
     /// It answers again.
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -112,7 +112,7 @@
                 self.keeper.cancel(now, &own, out);
             }
             Event::Executors(executors) => {
-                self.keeper.set_executors(executors);
+                self.keeper.set_executors(now, executors, out);
                 self.reconcile(now, out);
             }
             Event::Members { revision, members } => {
--- a/components/runs/src/event.rs
+++ b/components/runs/src/event.rs
@@ -2,11 +2,11 @@
 
 use crate::{
     Cordon, Executor, Job, Message,
-    executor::{Answered, Lists, Started},
+    executor::{Answered, Lists, Service, Started},
     job::Run,
 };
 use site::{
-    id::{EndpointId, EntryId, Home, ServiceId, WaiterId},
+    id::{EndpointId, EntryId, Home, WaiterId},
     unit::{Cores, Revision},
 };
 
@@ -85,7 +85,7 @@
         /// Its version.
         version: u64,
         /// The services that it sends jobs to.
-        services: Vec<ServiceId>,
+        services: Vec<Service>,
     },
     /// The data centres under cordon, as the platform's store says.
     Cordoned(Cordon),
--- a/components/runs/src/executor.rs
+++ b/components/runs/src/executor.rs
@@ -2,6 +2,7 @@
 
 use crate::{clock::Remote, job::Run};
 use compact_str::CompactString;
+use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 use site::{
     id::{DataCentreId, EndpointId, ServiceId},
@@ -9,13 +10,34 @@
 };
 use std::net::SocketAddr;
 
-/// One life of an executor: after a crash it is another one, with another name.
+/// When a life of an executor began, in milliseconds since 1970 by its own clock.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Eq,
+    FromStr,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Birth(pub u64);
+
+/// An executor. After a crash it comes back under another name, or under the same one with another
+/// birth.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Executor {
-    /// Identifies this life.
+    /// Identifies it.
     pub id: EndpointId,
     /// The name that `id` is made of.
     pub name: CompactString,
+    /// Tells its lives apart; `None` where the platform gives each life a name of its own.
+    pub born: Option<Birth>,
     /// Where it takes orders.
     pub address: SocketAddr,
     /// Where it stands.
@@ -30,6 +52,15 @@
     pub leaving: bool,
 }
 
+/// What all executors of a service have in common.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Service {
+    /// The service.
+    pub id: ServiceId,
+    /// Its executors refuse what they have no room for. Others start whatever they are told to.
+    pub guards_capacity: bool,
+}
+
 /// How a start was answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Started {
@@ -89,6 +120,8 @@
 pub struct Lists {
     /// The executor's clock.
     pub clock: Remote,
+    /// The life that answers, where lives share a name.
+    pub born: Option<Birth>,
     /// Runs that are there.
     pub running: Vec<Run>,
     /// Ends that were not acknowledged yet, in order.
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -35,6 +35,8 @@
     /// Number of its next run.
     pub(crate) run: u32,
     pub(crate) failures: u16,
+    /// Executors that were lost under it.
+    pub(crate) executors_lost: u16,
     /// Where earlier runs went wrong.
     pub(crate) avoid: Vec<EndpointId>,
 }
@@ -62,6 +64,7 @@
             state: State::Waiting { from: now },
             run: job.first_run,
             failures: 0,
+            executors_lost: 0,
             avoid: Vec::new(),
         };
         let tasks = (0..job.tasks).map(|_| task()).collect();
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -25,6 +25,10 @@
     unit::Time,
 };
 
+/// A task under which so many executors were lost is given up: it may be what crashes them, and each
+/// crash ends all that runs beside it.
+const MOST_EXECUTORS_LOST: u16 = 2;
+
 /// The jobs that this entry answers for.
 #[derive(Debug)]
 pub(crate) struct Jobs {
@@ -160,13 +164,17 @@
         open.ran |= ended.end != End::NotRun;
         task.state = match ended.end {
             End::Done => State::Done,
-            End::Failed | End::Lost | End::NotRun => State::Waiting { from: now },
+            End::Failed | End::Lost | End::ExecutorLost | End::NotRun => {
+                State::Waiting { from: now }
+            }
             End::Unsure => State::Waiting { from: now + self.options.unsure_wait },
         };
-        if ended.end == End::Failed {
-            task.failures += 1;
+        match ended.end {
+            End::Failed => task.failures += 1,
+            End::ExecutorLost => task.executors_lost += 1,
+            End::Done | End::Lost | End::NotRun | End::Unsure => {}
         }
-        if matches!(ended.end, End::Failed | End::Lost | End::Unsure) {
+        if matches!(ended.end, End::Failed | End::Lost | End::ExecutorLost | End::Unsure) {
             task.avoid.extend(ended.executor);
         }
         if ended.end == End::Done {
@@ -176,7 +184,10 @@
             };
         }
         let failures = task.failures;
-        let hopeless = failures >= open.job.max_failures;
+        let hopeless = match task.executors_lost >= MOST_EXECUTORS_LOST {
+            true => Some(Reason::ExecutorsLost),
+            false => (failures >= open.job.max_failures).then_some(Reason::Failures),
+        };
         let late = open.is_too_late(now) && open.ran;
         out.push(Action::Log(Decision::TaskEnded {
             job: open.job.name.clone(),
@@ -184,12 +195,12 @@
             run: ended.run,
             end: ended.end,
             failures,
-            again: !hopeless && !late,
+            again: hopeless.is_none() && !late,
         }));
         match (hopeless, late) {
-            (true, _) => self.finish(now, ended.task.job.number, Reason::Failures, out),
-            (false, true) => self.finish(now, ended.task.job.number, Reason::LostTooLate, out),
-            (false, false) => Vec::new(),
+            (Some(why), _) => self.finish(now, ended.task.job.number, why, out),
+            (None, true) => self.finish(now, ended.task.job.number, Reason::LostTooLate, out),
+            (None, false) => Vec::new(),
         }
     }
 
@@ -286,7 +297,7 @@
                 let retry_after = self.excess.refuse(now, &open.job.name);
                 (Answer::Refused { retry_after }, "refused")
             }
-            Reason::Failures => (Answer::Failed, "failed"),
+            Reason::Failures | Reason::ExecutorsLost => (Answer::Failed, "failed"),
             _ => (Answer::GivenUp, "given-up"),
         };
         let cores = open.job.needs.cores.0;
--- a/components/runs/src/keeper/handover.rs
+++ b/components/runs/src/keeper/handover.rs
@@ -1,6 +1,6 @@
 //! Executors that change their keeper: claims, and what a former keeper knows.
 
-use super::{Keeper, Lease, Live, Phase, State};
+use super::{Keeper, Lease, Life, Live, Phase, State};
 use crate::{
     Action, Message,
     action::KeepChange,
@@ -34,6 +34,7 @@
             let Some(lease) = self.leases.get(id) else { continue };
             let message = Message::Yield(Yield {
                 executor: *id,
+                born: lease.executor.born,
                 token: lease.token,
                 acknowledged: lease.acknowledged,
                 runs: lease.runs.iter().filter_map(|(run, live)| yielded(now, run, live)).collect(),
@@ -56,7 +57,9 @@
             return Vec::new();
         }
         lease.token = lease.token.max(view.token_above(yielded.token));
-        lease.acknowledged = lease.acknowledged.max(yielded.acknowledged);
+        if lease.life(yielded.born) == Life::Known {
+            lease.acknowledged = lease.acknowledged.max(yielded.acknowledged);
+        }
         lease.inherit(now, self.options.lease);
         let mut moved = Vec::new();
         for entry in yielded.runs {
--- a/components/runs/src/keeper/hold.rs
+++ b/components/runs/src/keeper/hold.rs
@@ -1,6 +1,6 @@
 //! Looks: an executor's lists, and its lease.
 
-use super::{Keeper, Lease, Live, Looking, Phase, State, log_keep};
+use super::{Keeper, Lease, Life, Live, Looking, Phase, State, log_keep};
 use crate::{
     Action,
     action::{Ending, KeepChange, Look, StopCause},
@@ -43,7 +43,7 @@
         if lease.looking.is_some_and(|looking| looking.until < now) {
             lease.looking = None;
             self.missing_at = Some(now);
-            look_failed(lease, now, out);
+            look_failed(lease, now, self.options.look_idle, out);
         }
         let due = lease.look_at.is_some_and(|at| at <= now);
         if !due || lease.looking.is_some() {
@@ -97,7 +97,9 @@
         let Some(lease) = self.leases.get_mut(&id) else { return };
         let Some(looking) = lease.looking.take_if(|looking| looking.number == number) else {
             // Its time is over and another look has been sent. Ends stay true.
-            if let Answered::Done(lists) = reply {
+            if let Answered::Done(lists) = reply
+                && lease.life(lists.born) == Life::Known
+            {
                 lists.ended.iter().for_each(|ended| self.take_end(now, id, ended, out));
             }
             return;
@@ -110,7 +112,9 @@
                     lease.silent = 0;
                     log_keep(lease, KeepChange::Answers, out);
                 }
-                lease.read_clock(lists.clock, now);
+                if !self.meet(now, id, lists.born, out) {
+                    return;
+                }
                 self.take_lists(now, id, sent, lists, out);
             }
             Answered::Fenced => self.fenced(now, id, out),
@@ -118,7 +122,8 @@
             Answered::Silent => {
                 self.missing_at = Some(now);
                 // An answer that failed at once is not asked for at once again.
-                look_failed(lease, now + self.options.look_retry, out);
+                let again = now + self.options.look_retry;
+                look_failed(lease, again, self.options.look_idle, out);
             }
         }
     }
@@ -131,6 +136,9 @@
         lists: Lists,
         out: &mut Vec<Action>,
     ) {
+        if let Some(lease) = self.leases.get_mut(&id) {
+            lease.read_clock(lists.clock, now);
+        }
         for ended in &lists.ended {
             self.take_end(now, id, ended, out);
         }
@@ -186,12 +194,12 @@
         let Some(lease) = self.leases.get(&id) else { return };
         let Some(live) = lease.runs.get(run) else { return };
         match live.state {
-            State::Running { since } if since < sent => {
-                self.end_run(now, id, run, End::Lost, Ending::Missing, out);
+            State::Running { since } if since < sent => self.end_missing(now, id, run, out),
+            State::Stopped { since } if since < sent && live.seen.is_some() => {
+                self.end_missing(now, id, run, out);
             }
             State::Stopped { since } if since < sent => {
-                let end = if live.seen.is_some() { End::Lost } else { End::NotRun };
-                self.end_run(now, id, run, end, Ending::Missing, out);
+                self.end_run(now, id, run, End::NotRun, Ending::Missing, out);
             }
             State::Starting if live.sent + grace < sent => {
                 self.stop(now, id, run, StopCause::StartLost, out);
@@ -219,7 +227,7 @@
             true if lease.confirmed < lease.acknowledged => {
                 Some(now + self.options.acknowledge_after)
             }
-            true => None,
+            true => lease.executor.born.map(|_| now + self.options.look_idle),
         };
     }
 
@@ -268,7 +276,7 @@
         let Some(lease) = self.leases.get(&id) else { return };
         let runs: Vec<_> = lease.runs.keys().cloned().collect();
         for run in runs {
-            self.end_run(now, id, &run, End::Lost, Ending::LeaseOver, out);
+            self.end_run(now, id, &run, End::ExecutorLost, Ending::LeaseOver, out);
         }
     }
 
@@ -295,7 +303,7 @@
         }
         let runs: Vec<_> = lease.runs.keys().cloned().collect();
         for run in runs {
-            self.end_run(now, id, &run, End::Lost, Ending::ExecutorGone, out);
+            self.end_run(now, id, &run, End::ExecutorLost, Ending::ExecutorGone, out);
         }
     }
 }
@@ -328,10 +336,12 @@
     }));
 }
 
-/// Notes a look without an answer; the next one is due at `again`.
-fn look_failed(lease: &mut Lease, again: Time, out: &mut Vec<Action>) {
+/// Notes a look without an answer. The next one is due at `again`; later if nothing runs there and
+/// another one failed before.
+fn look_failed(lease: &mut Lease, again: Time, idle: Span, out: &mut Vec<Action>) {
     lease.silent += 1;
-    lease.look_at = Some(again);
+    let is_idle = lease.runs.is_empty() && lease.phase == Phase::Ready && lease.silent > 1;
+    lease.look_at = Some(if is_idle { again + idle } else { again });
     if lease.silent == SILENT_LOOKS {
         log_keep(lease, KeepChange::Silent, out);
     }
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -12,6 +12,10 @@
     unit::{Resources, Span, Time},
 };
 
+/// How long a reading of an executor's clock is taken to be of its present life. Two looks at an idle
+/// executor, and shorter than it takes to start again.
+const CLOCK_TRUST: Span = Span::from_millis(1_500);
+
 /// An executor that this entry keeps.
 #[derive(Debug)]
 pub(crate) struct Lease {
@@ -20,6 +24,8 @@
     pub(crate) token: u64,
     /// Refusals of a token since the executor was last in use.
     pub(crate) tries: u8,
+    /// When this entry learnt of the executor's present life.
+    pub(crate) life_since: Time,
     /// `None` until the executor was looked at.
     pub(crate) clock: Option<Clock>,
     /// The latest deadline that was sent, on the executor's clock. Whatever runs there is over
@@ -46,6 +52,8 @@
     pub(crate) asked: Vec<Home>,
     /// No start before then: the executor said that it has no room.
     pub(crate) full_until: Time,
+    /// It starts whatever it is told to, so that its capacity has to be kept here.
+    pub(crate) overcommits: bool,
     /// How many times as long as others it takes.
     pub(crate) slow: f32,
     /// When a task was last seen to end well there.
@@ -141,6 +149,7 @@
             phase,
             token: 0,
             tries: 0,
+            life_since: Time(0),
             clock: None,
             deadline: 0,
             inherited_until: Time(0),
@@ -154,6 +163,7 @@
             silent: 0,
             asked: Vec::new(),
             full_until: Time(0),
+            overcommits: false,
             slow: 1.0,
             worked: Time(0),
         }
@@ -174,6 +184,19 @@
             && !self.executor.leaving
             && self.silent == 0
             && self.full_until <= now
+            && self.knows_clock(now)
+            && !(self.overcommits && self.has_unknown_runs())
+    }
+
+    /// Whether the clock is surely that of the executor's present life.
+    fn knows_clock(&self, now: Time) -> bool {
+        self.executor.born.is_none()
+            || self.clock.is_some_and(|clock| clock.age(now) <= CLOCK_TRUST)
+    }
+
+    /// Whether something runs there of which it is not known what it occupies.
+    fn has_unknown_runs(&self) -> bool {
+        self.runs.values().any(|live| live.task.is_none())
     }
 
     pub(crate) fn insert(&mut self, run: Run, live: Live) {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -3,6 +3,7 @@
 mod handover;
 mod hold;
 mod lease;
+mod life;
 mod queue;
 mod room;
 mod start;
@@ -11,17 +12,19 @@
 pub(crate) use room::Offer;
 
 use lease::{Lease, Live, Looking, Phase, State};
+use life::Life;
 use queue::{Queue, Queued};
 
 use crate::{
     Action, Cordon, Executor, Job, Message, Options,
     action::{Decision, Ending, KeepChange},
+    executor::Service,
     job::Run,
     message::{self, End, Placement},
     view::View,
 };
 use health::Monitor;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use site::{
     id::{EndpointId, ServiceId},
     unit::{Resources, Span, Time},
@@ -42,7 +45,7 @@
     known: FxHashMap<EndpointId, Executor>,
     /// The services that jobs are sent to; `None` until the configuration is known. Executors of
     /// others, which anybody may register, are left alone.
-    services: Option<FxHashSet<ServiceId>>,
+    services: Option<FxHashMap<ServiceId, Service>>,
     /// Where no task may be started.
     cordon: Cordon,
     leases: FxHashMap<EndpointId, Lease>,
@@ -122,19 +125,39 @@
     }
 
     /// Takes a new list of executors in.
-    pub(crate) fn set_executors(&mut self, executors: Vec<Executor>) {
+    pub(crate) fn set_executors(
+        &mut self,
+        now: Time,
+        executors: Vec<Executor>,
+        out: &mut Vec<Action>,
+    ) {
         self.known = executors.into_iter().map(|executor| (executor.id, executor)).collect();
+        let mut reborn = Vec::new();
         for lease in self.leases.values_mut() {
-            match self.known.get(&lease.executor.id) {
-                Some(executor) => lease.executor = executor.clone(),
-                None => lease.executor.leaving = true,
+            let Some(executor) = self.known.get(&lease.executor.id) else {
+                lease.executor.leaving = true;
+                continue;
+            };
+            match lease.life(executor.born) {
+                Life::Known => lease.executor = executor.clone(),
+                Life::New => {
+                    reborn.push((executor.id, executor.born));
+                    lease.executor = executor.clone();
+                }
+                // The executor itself told of a later one already.
+                Life::Past => {}
             }
         }
+        reborn.into_iter().for_each(|(id, born)| self.reborn(now, id, born, out));
     }
 
     /// Takes in which services jobs are sent to.
-    pub(crate) fn set_services(&mut self, services: Vec<ServiceId>) {
-        self.services = Some(services.into_iter().collect());
+    pub(crate) fn set_services(&mut self, services: Vec<Service>) {
+        let services = services.into_iter().map(|service| (service.id, service)).collect();
+        let services: &FxHashMap<_, _> = self.services.insert(services);
+        for lease in self.leases.values_mut() {
+            lease.overcommits = overcommits(services, lease.executor.service);
+        }
     }
 
     /// The latest cordon that is known.
@@ -161,7 +184,7 @@
     }
 
     fn is_named(&self, service: ServiceId) -> bool {
-        self.services.as_ref().is_none_or(|services| services.contains(&service))
+        self.services.as_ref().is_none_or(|services| services.contains_key(&service))
     }
 
     fn is_wanted(&self, view: &View, executor: &Executor) -> bool {
@@ -177,7 +200,11 @@
         for executor in new {
             let phase = Phase::Settling { since: now };
             self.health.insert(executor.id);
-            self.leases.insert(executor.id, Lease::new(executor, phase));
+            let mut lease = Lease::new(executor, phase);
+            if let Some(services) = &self.services {
+                lease.overcommits = overcommits(services, lease.executor.service);
+            }
+            self.leases.insert(lease.executor.id, lease);
         }
         let is_over = |lease: &Lease| {
             let unused = !matches!(lease.phase, Phase::Ready | Phase::Looking);
@@ -290,6 +317,11 @@
     }
 }
 
+/// Whether executors of a service start more than they have room for.
+fn overcommits(services: &FxHashMap<ServiceId, Service>, service: ServiceId) -> bool {
+    services.get(&service).is_some_and(|service| !service.guards_capacity)
+}
+
 fn log_keep(lease: &Lease, change: KeepChange, out: &mut Vec<Action>) {
     out.push(Action::Log(Decision::Keep {
         executor: lease.executor.name.clone(),
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Cordon,
+    executor::Birth,
     job::{Run, Task},
     load::Load,
 };
@@ -117,6 +118,8 @@
     Failed,
     /// It started and was broken off.
     Lost,
+    /// Its executor crashed under it, or fell silent until the lease was over.
+    ExecutorLost,
     /// It never started.
     NotRun,
     /// Another keeper has taken the executor over and is about to stop it.
@@ -200,6 +203,8 @@
 pub struct Yield {
     /// The executor.
     pub executor: EndpointId,
+    /// The life of it that the rest is about.
+    pub born: Option<Birth>,
     /// The fencing token that the sender used there.
     pub token: u64,
     /// Ends up to here are known to all whom they concern.
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -34,6 +34,9 @@
     pub look_again: bool,
     /// Pause before an executor that did not answer a look is asked again.
     pub look_retry: Span,
+    /// Pause between two looks at an executor on which nothing runs and whose lives share a name: what
+    /// is known of its clock has to be of its present life when a task is started there.
+    pub look_idle: Span,
     /// Pause before ends are acknowledged when nothing runs.
     pub acknowledge_after: Span,
     /// Least pause before an executor is taken over, so that views that are still changing settle.
@@ -177,6 +180,7 @@
             look_wait: Span::from_millis(150),
             look_again: true,
             look_retry: Span::from_millis(100),
+            look_idle: Span::from_millis(700),
             acknowledge_after: Span::from_millis(400),
             settle: Span::from_millis(20),
             keeper_reserve: Cores(120),
--- a/components/runs/tests/common/fixture.rs
+++ b/components/runs/tests/common/fixture.rs
@@ -15,6 +15,7 @@
     Executor {
         id: EndpointId::of("i-1"),
         name: "i-1".into(),
+        born: None,
         address: ([127, 0, 0, 1], 1).into(),
         data_centre: DataCentreId(1),
         service: ServiceId::of("service"),
--- a/components/runs/tests/cordon.rs
+++ b/components/runs/tests/cordon.rs
@@ -81,7 +81,7 @@
         let index = self.started.iter().position(|started| *started == executor);
         let run = index.map(|index| self.runs[index].clone());
         let ended = vec![Ended { number: 1, run, how: How::Done }];
-        let lists = Lists { clock: self.now.0 / 1_000, running: Vec::new(), ended };
+        let lists = Lists { clock: self.now.0 / 1_000, ended, ..Lists::default() };
         let number = self.looks[&executor];
         self.feed(Event::Looked { executor, number, reply: Answered::Done(lists) });
     }
--- a/components/runs/tests/membership.rs
+++ b/components/runs/tests/membership.rs
@@ -72,6 +72,7 @@
                 let here = running.iter().filter(|(executor, _)| *executor == look.executor);
                 let lists = Lists {
                     clock: now.0 / 1_000,
+                    born: None,
                     running: here.map(|(_, run)| run.clone()).collect(),
                     ended: Vec::new(),
                 };
@@ -137,7 +138,13 @@
         running_for: Span::from_millis(80),
         give_up_in: Span::from_secs(9),
     };
-    Yield { executor: executor().id, token: 41 << 24, acknowledged: 0, runs: vec![running] }
+    Yield {
+        executor: executor().id,
+        born: None,
+        token: 41 << 24,
+        acknowledged: 0,
+        runs: vec![running],
+    }
 }
 
 /// The first end that the entry tells a home of.
--- a/components/runs/tests/missing.rs
+++ b/components/runs/tests/missing.rs
@@ -90,8 +90,12 @@
 
     fn answer_latest_look(&mut self) {
         let Some(look) = self.looks.pop() else { return };
-        let lists =
-            Lists { clock: self.clock(), running: self.running.clone(), ended: self.ended.clone() };
+        let lists = Lists {
+            clock: self.clock(),
+            running: self.running.clone(),
+            ended: self.ended.clone(),
+            ..Lists::default()
+        };
         let reply = Answered::Done(lists);
         self.handle(Event::Looked { executor: look.executor, number: look.number, reply });
     }
--- a/components/runs/tests/order.rs
+++ b/components/runs/tests/order.rs
@@ -94,7 +94,12 @@
     fn answer_looks(&mut self) {
         for look in std::mem::take(&mut self.looks) {
             let clock = self.now.0 / 1_000;
-            let lists = Lists { clock, running: self.running.clone(), ended: self.ended.clone() };
+            let lists = Lists {
+                clock,
+                running: self.running.clone(),
+                ended: self.ended.clone(),
+                ..Lists::default()
+            };
             let reply = Answered::Done(lists);
             self.handle(Event::Looked { executor: look.executor, number: look.number, reply });
         }
--- a/components/standin/src/leased/life.rs
+++ b/components/standin/src/leased/life.rs
@@ -3,7 +3,7 @@
 
 use runs::{
     action::{Look, Start},
-    executor::{Answered, Ended, How, Lists, Refusal, Started},
+    executor::{Answered, Birth, Ended, How, Lists, Refusal, Started},
     job::Run,
 };
 use site::unit::{Resources, Time};
@@ -51,6 +51,8 @@
     pub done: BTreeSet<(String, u16)>,
     /// It takes orders, but neither carries them out nor answers.
     pub dark_until: Time,
+    /// Tells its lives apart, where they share a name.
+    pub born: Option<Birth>,
     /// Whether it is up.
     pub up: bool,
     /// Tasks take this many times as long.
@@ -74,6 +76,7 @@
             past: BTreeMap::new(),
             done: BTreeSet::new(),
             dark_until: Time(0),
+            born: None,
             up: true,
             factor: 1,
             fails: false,
@@ -188,6 +191,7 @@
         self.ended.retain(|ended| ended.number > look.acknowledged);
         Answered::Done(Lists {
             clock: self.clock(now),
+            born: self.born,
             running: self.running.keys().cloned().collect(),
             ended: self.ended.clone(),
         })
