Entries that keep nothing are connected to those that keep executors only

The pairs within a data centre grow with the square of its entries. Partners in other data centres were chosen by ranks, so that one keeper that comes or goes moved nearly all connections at once.

Tests: mesh.rs, two more; the count of partners of entries without weight doesn't grow from 40 to 80 entries a data centre. Where all entries are alike nothing changes: that stays the next limit.

--- a/components/membership/src/mesh.rs
+++ b/components/membership/src/mesh.rs
@@ -1,7 +1,8 @@
 //! Which entries keep a connection to each other.
 
+use crate::rendezvous;
 use site::{
-    id::{DataCentreId, Home},
+    id::{DataCentreId, Home, Incarnation},
     unit::Weight,
 };
 use std::collections::BTreeMap;
@@ -14,15 +15,17 @@
 /// of more entries than [`FULL_MESH`]. One may be down and another one far behind.
 pub const FAR_PARTNERS: usize = 2;
 
-/// The entries that `me` keeps connections to: all in a small site; else all of the own data centre
-/// and a few of each other one. Symmetric for entries that know the same homes.
+/// The entries that `me` keeps connections to, all with the same weight: all in a small site; else all
+/// of the own data centre and a few of each other one. Symmetric for entries that know the same homes.
 pub fn partners(me: Home, homes: &[Home]) -> Vec<Home> {
     let homes: Vec<_> = homes.iter().map(|home| (*home, Weight(1))).collect();
     weighted_partners(me, &homes)
 }
 
-/// Like [`partners`], but connections to other data centres all have an entry with weight at one end:
-/// only such entries keep executors that tasks can be sent to.
+/// Like [`partners`], but in a large site each connection has an entry with weight at one end: only such
+/// entries keep executors that tasks can be sent to. One without weight is connected to all with
+/// weight of its own data centre and a few of each other one, so that its connections don't grow with
+/// the entries that are like it.
 pub fn weighted_partners(me: Home, homes: &[(Home, Weight)]) -> Vec<Home> {
     let others = homes.iter().map(|(home, _)| *home).filter(|home| home.entry != me.entry);
     if homes.len() <= FULL_MESH {
@@ -37,6 +40,7 @@
     data_centres.values_mut().for_each(Entries::sort);
     let own = data_centres.remove(&me.data_centre).unwrap_or_default();
     let near = own.all().filter(|home| home.entry != me.entry);
+    let near = near.filter(|home| keeps || own.keepers.contains(home));
     let far = data_centres.values().flat_map(|theirs| remote(me, &own, theirs));
     near.chain(far).collect()
 }
@@ -69,10 +73,8 @@
 /// The partners of `me` in another data centre.
 fn remote(me: Home, own: &Entries, theirs: &Entries) -> Vec<Home> {
     let rank = |homes: &[Home]| homes.iter().position(|home| home.entry == me.entry);
-    if let Some(rank) = rank(&own.others) {
-        let count = theirs.keepers.len();
-        let is_linked = |keeper: usize| is_chosen(rank, keeper, count);
-        return select(&theirs.keepers, is_linked);
+    if rank(&own.others).is_some() {
+        return chosen(me, &theirs.keepers);
     }
     // Always there: it was put in among these or the others.
     let rank = rank(&own.keepers).unwrap_or_default();
@@ -83,7 +85,8 @@
         true => is_pair(rank, ours, their_rank),
         false => is_pair(their_rank, count, rank),
     });
-    partners.extend(select(&theirs.others, |their_rank| is_chosen(their_rank, rank, ours)));
+    let choose_me = |other: &&Home| chosen(**other, &own.keepers).contains(&me);
+    partners.extend(theirs.others.iter().filter(choose_me));
     partners
 }
 
@@ -92,10 +95,17 @@
     ranked.filter(|(rank, _)| is_linked(*rank)).map(|(_, home)| *home).collect()
 }
 
-/// Whether an entry that keeps nothing, at `rank` among such ones, is linked to the one at `keeper` of
-/// `count` keepers of another data centre.
-fn is_chosen(rank: usize, keeper: usize, count: usize) -> bool {
-    (keeper + count - rank % count) % count < FAR_PARTNERS
+/// The keepers of another data centre that an entry without weight is linked to. A keeper that comes or
+/// goes changes the links of few entries; one that starts again changes none.
+fn chosen(other: Home, keepers: &[Home]) -> Vec<Home> {
+    let rank = |keeper: &Home| {
+        let stable = Home { incarnation: Incarnation(0), ..*keeper };
+        (rendezvous::rank(stable, other.entry.0), keeper.entry)
+    };
+    let mut ranked = keepers.to_vec();
+    ranked.sort_by_cached_key(rank);
+    ranked.truncate(FAR_PARTNERS);
+    ranked
 }
 
 /// Whether the entry at rank `low` of the smaller data centre, which has `count`, is linked to the
--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -102,3 +102,41 @@
         }
     }
 }
+
+/// Large sites have few entries with weight; the others have nothing to tell each other.
+#[test]
+fn entries_without_weight_are_connected_to_those_with_weight_only() {
+    for sizes in [[40; 5], [80; 5]] {
+        let homes = weighed(&site(&sizes));
+        let with_weight = |home: &Home| homes.iter().any(|(h, weight)| h == home && weight.0 > 0);
+        for (me, _) in homes.iter().filter(|(home, _)| !with_weight(home)) {
+            let partners = weighted_partners(*me, &homes);
+            assert!(partners.iter().all(with_weight));
+            let near = partners.iter().filter(|home| home.data_centre == me.data_centre).count();
+            assert_eq!((near, partners.len()), (2, 2 + 4 * FAR_PARTNERS), "at {sizes:?}");
+        }
+    }
+}
+
+/// Each new connection is a handshake at both ends, and all entries hear of a change at the same moment.
+#[test]
+fn an_entry_with_weight_that_goes_changes_few_connections() {
+    let homes = site(&[40; 5]);
+    let weigh = |homes: &[Home]| {
+        let weight = |home: &Home| Weight(u32::from(home.entry.0 % 8 == 0));
+        homes.iter().map(|home| (*home, weight(home))).collect::<Vec<_>>()
+    };
+    let before = weigh(&homes);
+    let gone = before.iter().find(|(_, weight)| weight.0 > 0).map(|(home, _)| *home);
+    let gone = gone.expect("some have weight");
+    let left: Vec<Home> = homes.iter().copied().filter(|home| *home != gone).collect();
+    let after = weigh(&left);
+    let mut new = 0;
+    for me in &left {
+        let old = weighted_partners(*me, &before);
+        new += weighted_partners(*me, &after).iter().filter(|home| !old.contains(home)).count();
+    }
+    let had_it = weighted_partners(gone, &before).len();
+    // Both ends of a connection count.
+    assert!(new <= 2 * had_it, "{new} for {had_it} that are lost");
+}
