Only entries that keep executors read their registrations; the others report rarely

Cause: every executor renews its registration all the time, and every entry read all of that: the executors times the entries, 196,000 events a second on the whole fleet of which 25 entries of 236 have any use. An entry that keeps nothing also told eight peers every 150 ms that it has no room.

An entry now follows the registrations while it is to keep executors or has some in use; one that is to for want of larger ones waits 0.1 s first, since these may be starting beside it. Where all entries are alike all follow, as before (switch: follow_if_keeper). Entries without executors and without waiting jobs report to all every 1.3 s, and to keepers of their tasks as before.

What a home believed of work that waits came from entries that it is connected to, now few: keepers add up their data centre, and a home takes for each data centre the sum over most entries, whoever made it. That an entry refuses at once when all executors are under cordon now rests on what keepers say, for entries that know no executors.

Ruled out: one watcher a data centre that passes changes on, since entries without executors need none of it.

--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -1,6 +1,6 @@
 //! Hands events in and carries actions out.
 
-use crate::{Clock, Journal, Metrics, Orders};
+use crate::{Clock, Journal, Metrics, Orders, following::Following};
 use async_channel::{Receiver, Sender};
 use link::{Incoming, Node};
 use parking_lot::Mutex;
@@ -46,6 +46,7 @@
     metrics: Metrics,
     clock: Clock,
     node: OnceLock<Arc<Node<Message>>>,
+    following: Following,
     exited: (Sender<()>, Receiver<()>),
 }
 
@@ -86,6 +87,7 @@
             metrics: setup.metrics,
             clock,
             node: OnceLock::new(),
+            following: Following::default(),
             exited: async_channel::bounded(1),
         })
     }
@@ -151,6 +153,11 @@
         }
     }
 
+    /// Returns once the logic wants to know the executors, or wants to no longer.
+    pub async fn wants_executors(&self, wanted: bool) {
+        self.following.is(wanted).await;
+    }
+
     /// The instruments.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
@@ -211,6 +218,7 @@
                 }
             }
             Action::Send { to, message } => self.send(to, &message),
+            Action::FollowExecutors(wanted) => self.following.set(wanted),
             Action::Log(decision) => {
                 self.metrics.decided(&decision);
                 self.journal.write(now, &decision);
--- a/components/runner/src/journal.rs
+++ b/components/runner/src/journal.rs
@@ -110,6 +110,7 @@
         | Decision::Left { .. }
         | Decision::Health { .. }
         | Decision::Members { .. }
+        | Decision::Follow { .. }
         | Decision::Cordon { .. }
         | Decision::Paused { .. } => false,
     }
--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod clock;
 mod engine;
+mod following;
 mod journal;
 mod metrics;
 mod orders;
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -45,6 +45,9 @@
         /// What to say.
         message: Message,
     },
+    /// Begin to hand in the executors that there are, or cease to: an entry that keeps none need not know
+    /// them.
+    FollowExecutors(bool),
     /// Write a line to the log.
     Log(Decision),
     /// A drain has finished.
@@ -234,6 +237,11 @@
         /// The revision of the store.
         revision: u64,
     },
+    /// This entry begins or ceases to read the registrations of executors.
+    Follow {
+        /// Whether it reads them now.
+        executors: bool,
+    },
     /// The data centres under cordon changed.
     Cordon {
         /// Those under cordon now.
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -4,10 +4,12 @@
     Action, Cordon, Event, Message, Options,
     action::{Decision, Source},
     clock::Offset,
+    following::Following,
     home::Jobs,
     job::Task,
     keeper::Keeper,
     laggards::Laggards,
+    load::Load,
     message::{Ended, Moved, Report},
     reports::{Audience, Reports},
     view::View,
@@ -49,6 +51,7 @@
     unreconciled: bool,
     reports: Reports,
     laggards: Laggards,
+    following: Following,
     exited: bool,
 }
 
@@ -69,6 +72,7 @@
             unreconciled: false,
             reports: Reports::default(),
             laggards: Laggards::default(),
+            following: Following::default(),
             exited: false,
         }
     }
@@ -83,6 +87,7 @@
         self.lose_silent(now, out);
         self.take(now, event, out);
         self.settle(now, out);
+        self.follow(now, out);
     }
 
     /// Whether the entry knows of peers or executors that can serve callers.
@@ -104,7 +109,8 @@
     fn take(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Submit { waiter, job } => {
-                let own = self.keeper.offer(now, &job);
+                let mut own = self.keeper.offer(now, &job);
+                own.is_cordoned |= self.is_cordoned_elsewhere();
                 self.jobs.submit(now, waiter, job, &own, out);
             }
             Event::Leave { waiter } => {
@@ -202,7 +208,29 @@
             revision: cordon.revision,
             source,
         }));
-        self.jobs.refuse_cordoned(now, |job| self.keeper.is_cordoned(job), out);
+        self.refuse_cordoned(now, out);
+    }
+
+    fn refuse_cordoned(&mut self, now: Time, out: &mut Vec<Action>) {
+        let elsewhere = self.is_cordoned_elsewhere();
+        self.jobs.refuse_cordoned(now, |job| elsewhere || self.keeper.is_cordoned(job), out);
+    }
+
+    /// Whether this entry knows of no executor itself, and those who keep some say that all are under
+    /// cordon.
+    fn is_cordoned_elsewhere(&self) -> bool {
+        !self.keeper.knows_executors() && self.jobs.peers.are_cordoned()
+    }
+
+    /// Begins or ceases to read the registrations of executors.
+    fn follow(&mut self, now: Time, out: &mut Vec<Action>) {
+        let keeps_nothing = self.keeper.keeps_nothing();
+        if let Some(executors) =
+            self.following.update(now, &self.view, keeps_nothing, &self.options)
+        {
+            out.push(Action::Log(Decision::Follow { executors }));
+            out.push(Action::FollowExecutors(executors));
+        }
     }
 
     fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
@@ -322,7 +350,9 @@
             sent: now,
             room: self.keeper.room(now),
             capacity: self.keeper.capacity(),
-            load: [self.keeper.load(now), self.jobs.load()].into_iter().sum(),
+            load: self.load(now),
+            near: self.jobs.peers.summary(now, self.me.data_centre, self.load(now)),
+            cordoned: self.keeper.is_all_cordoned(),
             leaving: self.view.is_leaving(),
             idle: self.keeper.keeps_nothing(),
             configuration: self.configuration,
@@ -331,6 +361,11 @@
         }
     }
 
+    /// The work that waits here, and how fast the executors here get through it.
+    fn load(&self, now: Time) -> Load {
+        [self.keeper.load(now), self.jobs.load()].into_iter().sum()
+    }
+
     fn tell_room(&mut self, now: Time, out: &mut Vec<Action>) {
         if self.jobs.peers.len() == 0 || !self.reports.may_be_due(now, &self.options) {
             return;
@@ -353,7 +388,11 @@
         let changed = self.view.set_leaving(from, report.leaving);
         self.view.set_idle(from, report.idle);
         self.set_cordon(now, report.cordon.clone(), Source::Peer, out);
+        let is_cordoned = report.cordoned;
         let begins = self.jobs.peers.report(now, from, report);
+        if is_cordoned && self.is_cordoned_elsewhere() {
+            self.refuse_cordoned(now, out);
+        }
         if begins && !self.keeper.room(now).is_empty() {
             out.push(report_to(from, &self.report(now)));
         }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -77,7 +77,8 @@
     ) {
         self.next += 1;
         let key = Key { home: self.me, number: self.next };
-        let load = [own.load, self.load()].into_iter().chain(self.peers.loads(now)).sum();
+        let own_load = [own.load, self.load()].into_iter().sum();
+        let load = self.peers.site_load(now, self.me.data_centre, own_load);
         let slack = job.start_by(self.options.caution_percent).since(now);
         let outlook = self.admission.outlook(job.estimate, slack, &load);
         let has_room = self.options.fill && self.has_room(now, &own.room, &job);
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -1,14 +1,15 @@
 //! What a home knows of the keepers that it sends tasks to.
 
 use crate::{
-    load::Load,
+    load::{Load, Summary},
     message::{Report, Room},
 };
 use rustc_hash::FxHashMap;
 use site::{
-    id::Home,
+    id::{DataCentreId, Home},
     unit::{Span, Time},
 };
+use std::collections::BTreeMap;
 
 /// A keeper's report is not believed for longer than this. Above the interval at which reports
 /// are repeated, 2 s among 500 entries; the end of a connection is noticed after 0.8 s.
@@ -57,10 +58,39 @@
         self.peers.iter().filter(waits).map(|(home, _)| *home)
     }
 
-    /// What keepers say of the work that waits there and of their executors.
-    pub(crate) fn loads(&self, now: Time) -> impl Iterator<Item = Load> {
-        let fresh = self.peers.values().filter(move |peer| now.since(peer.at) < REPORT_AGE);
-        fresh.map(|peer| peer.report.load)
+    /// The loads of the entries of a data centre that are connected, with one's own there.
+    pub(crate) fn summary(&self, now: Time, data_centre: DataCentreId, own: Load) -> Summary {
+        let there = self.fresh(now).filter(|(home, _)| home.data_centre == data_centre);
+        there.fold(Summary::default().with(own), |sum, (_, report)| sum.with(report.load))
+    }
+
+    /// The load of the site, as far as it is known. Of each data centre that is the sum over most
+    /// entries: of those that are connected, or what one of them has heard of its own.
+    pub(crate) fn site_load(&self, now: Time, own: DataCentreId, load: Load) -> Load {
+        let mut heard: BTreeMap<DataCentreId, Summary> = BTreeMap::new();
+        heard.insert(own, Summary::default().with(load));
+        for (home, report) in self.fresh(now) {
+            let sum = heard.entry(home.data_centre).or_default();
+            *sum = sum.with(report.load);
+        }
+        for (home, report) in self.fresh(now) {
+            let sum = heard.entry(home.data_centre).or_default();
+            if report.near.entries > sum.entries {
+                *sum = report.near;
+            }
+        }
+        heard.into_values().map(|summary| summary.load).sum()
+    }
+
+    fn fresh(&self, now: Time) -> impl Iterator<Item = (Home, &Report)> {
+        let fresh = self.peers.iter().filter(move |(_, peer)| now.since(peer.at) < REPORT_AGE);
+        fresh.map(|(home, peer)| (*home, &peer.report))
+    }
+
+    /// Whether there are keepers, and all say that their executors are under cordon.
+    pub(crate) fn are_cordoned(&self) -> bool {
+        let mut keepers = self.peers.values().filter(|peer| peer.report.capacity > 0).peekable();
+        keepers.peek().is_some() && keepers.all(|peer| peer.report.cordoned)
     }
 
     /// Notes that tasks were sent, until the next report.
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -183,6 +183,17 @@
             && suitable.all(|executor| self.cordon.covers(executor.data_centre))
     }
 
+    /// Whether any executor is known.
+    pub(crate) fn knows_executors(&self) -> bool {
+        !self.known.is_empty()
+    }
+
+    /// Whether there are executors in use here, all of them under cordon.
+    pub(crate) fn is_all_cordoned(&self) -> bool {
+        let mut used = self.leases.values().filter(|lease| lease.is_in_use()).peekable();
+        used.peek().is_some() && used.all(|lease| self.cordon.covers(lease.executor.data_centre))
+    }
+
     fn is_named(&self, service: ServiceId) -> bool {
         self.services.as_ref().is_none_or(|services| services.contains_key(&service))
     }
--- a/components/runs/src/lib.rs
+++ b/components/runs/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod entry;
 pub mod event;
 pub mod executor;
+mod following;
 mod home;
 pub mod job;
 mod keeper;
--- a/components/runs/src/load.rs
+++ b/components/runs/src/load.rs
@@ -17,6 +17,22 @@
     pub unmeasured: u64,
 }
 
+/// What an entry has added up of several, itself among them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// How many entries it is of.
+    pub entries: u32,
+    /// Their loads together.
+    pub load: Load,
+}
+
+impl Summary {
+    /// With one more entry.
+    pub(crate) fn with(self, load: Load) -> Self {
+        Self { entries: self.entries + 1, load: [self.load, load].into_iter().sum() }
+    }
+}
+
 impl Load {
     /// How long a task waits for room behind all that waits already; `None` while no executor is
     /// known. `usual` is how long tasks take where nothing was measured yet.
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -4,7 +4,7 @@
     Cordon,
     executor::Birth,
     job::{Run, Task},
-    load::Load,
+    load::{Load, Summary},
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -137,6 +137,10 @@
     pub capacity: u32,
     /// The work that waits there, and how fast its executors get through it.
     pub load: Load,
+    /// The same of all entries of the sender's data centre that it hears of.
+    pub near: Summary,
+    /// All executors that it has in use are under cordon.
+    pub cordoned: bool,
     /// It is about to stop and must keep nothing.
     pub leaving: bool,
     /// It keeps no executor, so that it has none to hand over.
@@ -155,6 +159,7 @@
         self.capacity != old.capacity
             || self.leaving != old.leaving
             || self.idle != old.idle
+            || self.cordoned != old.cordoned
             || self.configuration != old.configuration
             || !self.cordon.matches(&old.cordon)
     }
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -45,6 +45,11 @@
     /// what the entries of their data centre have beyond it, so that small ones are not kept busy by
     /// executors alone; evenly where none has more.
     pub keeper_reserve: Cores,
+    /// Whether only entries that keep executors read their registrations. Else all do.
+    pub follow_if_keeper: bool,
+    /// How long an entry that keeps executors only for want of larger ones waits before it reads their
+    /// registrations: those may be starting beside it.
+    pub stopgap_patience: Span,
     /// Longest pause for connections to the other entries to come up: whoever keeps the executor
     /// can only hand it over if it is asked.
     pub settle_limit: Span,
@@ -106,6 +111,9 @@
     pub report_share: Span,
     /// The same while room is ample: once in 0.7 s among 46 peers.
     pub report_share_ample: Span,
+    /// Entries that keep nothing and at which nothing waits report to all after this time, apart from
+    /// news and from those that have tasks of theirs. A third of what a report counts for.
+    pub report_idle: Span,
     /// Room is ample while this part of the capacity of an entry's executors is free: changes are
     /// then told to near peers after `report_refresh` only. Above 100 it never is.
     pub ample_percent: u64,
@@ -184,6 +192,8 @@
             acknowledge_after: Span::from_millis(400),
             settle: Span::from_millis(20),
             keeper_reserve: Cores(120),
+            follow_if_keeper: true,
+            stopgap_patience: Span::from_millis(100),
             settle_limit: Span::from_millis(200),
             ask_keepers_only: true,
             claim_timeout: Span::from_millis(300),
@@ -207,6 +217,7 @@
             report_refresh: Span::from_millis(150),
             report_share: Span::from_millis(5),
             report_share_ample: Span::from_millis(16),
+            report_idle: Span::from_millis(1_300),
             ample_percent: 50,
             near_peers: 8,
             pause_limit: Span::from_millis(900),
--- a/components/runs/src/reports.rs
+++ b/components/runs/src/reports.rs
@@ -29,8 +29,8 @@
     near: Told,
     /// Of the others at least those that have tasks of this entry.
     far: Told,
-    /// When all were told.
-    all: Time,
+    /// When all were told, and what.
+    all: Told,
 }
 
 #[derive(Debug, Default)]
@@ -61,7 +61,9 @@
         options: &Options,
     ) -> Vec<Home> {
         let Audience { by_distance, waiting, keepers } = audience;
-        let (near, far) = by_distance.split_at(by_distance.len().min(options.near_peers));
+        let is_quiet = self.is_quiet(report);
+        let near_peers = if is_quiet { 0 } else { options.near_peers };
+        let (near, far) = by_distance.split_at(by_distance.len().min(near_peers));
         let interval = options.near_interval(by_distance.len(), supply);
         let near_is_due = self.near_is_due(now, report, interval, options);
         let urgent = report.is_news(&self.near.report);
@@ -72,11 +74,16 @@
         }
         // Not only along with near peers: keepers of tasks give up a home that they do not hear of.
         if urgent || self.far.age(now) >= options.report_refresh {
-            let everyone =
-                urgent || now.since(self.all) >= options.refresh_all(by_distance.len(), supply);
+            let interval = match is_quiet {
+                true => options.report_idle,
+                false => options.refresh_all(by_distance.len(), supply),
+            };
+            let everyone = urgent || self.all.age(now) >= interval;
             to.extend(far.iter().filter(|peer| everyone || keepers.contains(peer)));
             self.far = Told { report: report.clone(), at: now };
-            self.all = if everyone { now } else { self.all };
+            if everyone {
+                self.all = Told { report: report.clone(), at: now };
+            }
         }
         let told: FxHashSet<Home> = to.iter().copied().collect();
         let quick = by_distance.iter().filter(|peer| waiting.contains(peer));
@@ -89,6 +96,13 @@
         to
     }
 
+    /// Whether nobody gains by hearing from this entry: it has no executors, nothing waits for any, and
+    /// all have heard so.
+    fn is_quiet(&self, report: &Report) -> bool {
+        let rests = |report: &Report| report.idle && report.load.waiting == 0;
+        rests(report) && rests(&self.near.report) && rests(&self.all.report)
+    }
+
     fn near_is_due(&self, now: Time, report: &Report, interval: Span, options: &Options) -> bool {
         let last = &self.near.report;
         let age = self.near.age(now);
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -42,6 +42,8 @@
     keepers: Vec<Home>,
     /// Among which of them executors are shared out.
     shares: Shares,
+    /// This entry is one of them.
+    has_share: bool,
     /// The connected entries, the nearest first.
     by_distance: Vec<Home>,
 }
@@ -73,6 +75,7 @@
             reserve,
             keepers: Vec::new(),
             shares: Shares::default(),
+            has_share: false,
             by_distance: Vec::new(),
         };
         view.refresh();
@@ -185,6 +188,17 @@
         &self.keepers
     }
 
+    /// Whether this entry is to keep executors, if there are any to keep.
+    pub(crate) fn is_keeper(&self) -> bool {
+        self.joined && self.has_share
+    }
+
+    /// Whether it is so for want of larger entries, which may only be starting.
+    pub(crate) fn is_stopgap(&self) -> bool {
+        let own = self.processors.get(&self.me.entry).copied().unwrap_or_default();
+        own > Cores(0) && own <= self.reserve
+    }
+
     pub(crate) fn listed(&self) -> usize {
         self.listed.len()
     }
@@ -241,7 +255,10 @@
 
     fn share_out(&mut self) {
         let weighed = self.weigh(&self.keepers);
-        let weighed = weighed.into_iter().map(|(home, weight)| (stable(&home), weight)).collect();
+        let weighed: Vec<_> =
+            weighed.into_iter().map(|(home, weight)| (stable(&home), weight)).collect();
+        let me = stable(&self.me);
+        self.has_share = weighed.iter().any(|(home, weight)| *home == me && weight.0 > 0);
         self.shares = Shares::new(self.me.data_centre, weighed);
     }
 
--- a/components/runs/tests/missing.rs
+++ b/components/runs/tests/missing.rs
@@ -71,7 +71,7 @@
             Action::Look(look) => self.looks.push(look),
             Action::Stop { .. } => self.stops += 1,
             Action::Answer { answer, .. } => self.answer = Some(answer),
-            Action::Send { .. } | Action::Log(_) | Action::Exit => {}
+            Action::Send { .. } | Action::Log(_) | Action::FollowExecutors(_) | Action::Exit => {}
         }
         None
     }
--- a/components/runs/tests/reports.rs
+++ b/components/runs/tests/reports.rs
@@ -140,3 +140,21 @@
         }
     }
 }
+
+/// In a large site most entries keep nothing, and what they report at rest costs all keepers time.
+#[test]
+fn entries_without_executors_or_waiting_jobs_report_rarely() {
+    let begun = Time(1_000_000);
+    let mut entry = Entry::new(home("entry-1"), Options::default(), begun);
+    let mut out = Vec::new();
+    for number in 0..13 {
+        entry.handle(begun, Event::PeerUp { peer: home(&format!("peer-{number}")) }, &mut out);
+    }
+    entry.handle(begun + Span::from_millis(20), Event::Tick, &mut out);
+    out.clear();
+    for step in 2..=200 {
+        entry.handle(begun + Span::from_millis(20 * step), Event::Tick, &mut out);
+    }
+    let sent = out.iter().filter(|action| matches!(action, Action::Send { .. })).count();
+    assert!(sent <= 13 * 4, "{sent} reports in four seconds to 13 peers");
+}
--- a/lab/src/world/nodes.rs
+++ b/lab/src/world/nodes.rs
@@ -133,7 +133,8 @@
             Action::Log(decision) if self.plan.trace => {
                 println!("{} {node} {decision:?}", self.now);
             }
-            Action::Log(_) => {}
+            // Here all entries are told of the executors; reading them costs nothing.
+            Action::Log(_) | Action::FollowExecutors(_) => {}
             Action::Exit => self.nodes[node].exited = true,
         }
     }
