A data centre that is cut off is left alone until its executors are heard of without its entries

Cause: entries of a data centre that is cut off lapse after 2 s, and the others then held its executors for theirs. They can't reach them while the cut lasts; once it is over, their first looks carry higher tokens and fence the entries that had kept them all the while, whose runs all count as lost.

Executors of a data centre whose entries went away are taken over only once they have renewed their registrations and its entries have stayed away for 2.5 s more. Entries of a data centre that never had any are not waited for, as before.

Ruled out: a longer wait for the entries alone, since no length of a cut is known; looks without a token, which tell that somebody had kept the executor, but not whether it still does.

--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -121,6 +121,7 @@
                 self.keeper.set_executors(now, executors, out);
                 self.reconcile(now, out);
             }
+            Event::ExecutorsHeard(data_centres) => self.view.hear_executors(now, &data_centres),
             Event::Members { revision, members } => {
                 let changed = self.view.list(revision, members);
                 self.view_changed(now, changed, out);
@@ -280,6 +281,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.unreconciled |= self.view.give_up_absent(now, self.options.absence_patience);
         if self.unreconciled || now.since(self.reconciled) >= RECONCILE_INTERVAL {
             self.reconcile(now, out);
         }
--- a/components/runs/src/event.rs
+++ b/components/runs/src/event.rs
@@ -6,7 +6,7 @@
     job::Run,
 };
 use site::{
-    id::{EndpointId, EntryId, Home, WaiterId},
+    id::{DataCentreId, EndpointId, EntryId, Home, WaiterId},
     unit::{Cores, Revision},
 };
 
@@ -27,6 +27,8 @@
     },
     /// All executors that are known now, replacing those before.
     Executors(Vec<Executor>),
+    /// Executors of these data centres have renewed their registrations, whatever these say.
+    ExecutorsHeard(Vec<DataCentreId>),
     /// All entries that the platform's store lists now, replacing those before.
     Members {
         /// The revision of the store that the list is of.
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -45,6 +45,9 @@
     /// what the entries of their data centre have beyond it, so that small ones are not kept busy by
     /// executors alone; evenly where none has more.
     pub keeper_reserve: Cores,
+    /// How long a data centre's entries may stay away after its executors were heard of again before
+    /// others take these over. Above the time in which entries register and connect after a cut.
+    pub absence_patience: Span,
     /// Whether only entries that keep executors read their registrations. Else all do.
     pub follow_if_keeper: bool,
     /// How long an entry that keeps executors only for want of larger ones waits before it reads their
@@ -192,6 +195,7 @@
             acknowledge_after: Span::from_millis(400),
             settle: Span::from_millis(20),
             keeper_reserve: Cores(120),
+            absence_patience: Span::from_millis(2_500),
             follow_if_keeper: true,
             stopgap_patience: Span::from_millis(100),
             settle_limit: Span::from_millis(200),
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -1,11 +1,15 @@
 //! Which entries there are, and which of them keeps an executor.
 
+mod absent;
+
+use absent::Absent;
+
 use crate::Executor;
 use membership::{keepers, mesh, rendezvous};
 use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{DataCentreId, EntryId, Home, Incarnation},
-    unit::{Cores, Revision, Weight},
+    unit::{Cores, Revision, Span, Time, Weight},
 };
 
 /// Bits of a fencing token below the store's revision.
@@ -44,6 +48,7 @@
     shares: Shares,
     /// This entry is one of them.
     has_share: bool,
+    absent: Absent,
     /// The connected entries, the nearest first.
     by_distance: Vec<Home>,
 }
@@ -76,6 +81,7 @@
             keepers: Vec::new(),
             shares: Shares::default(),
             has_share: false,
+            absent: Absent::default(),
             by_distance: Vec::new(),
         };
         view.refresh();
@@ -212,7 +218,7 @@
         let Shares { near, all, staffed } = &self.shares;
         let homes = match executor.data_centre {
             own if own == self.me.data_centre && staffed.contains(&own) => near,
-            other if staffed.contains(&other) => return false,
+            other if staffed.contains(&other) || self.absent.contains(other) => return false,
             _ => all,
         };
         rendezvous::weighted_keeper(homes, executor.id) == Some(stable(&self.me))
@@ -259,7 +265,21 @@
             weighed.into_iter().map(|(home, weight)| (stable(&home), weight)).collect();
         let me = stable(&self.me);
         self.has_share = weighed.iter().any(|(home, weight)| *home == me && weight.0 > 0);
-        self.shares = Shares::new(self.me.data_centre, weighed);
+        let shares = Shares::new(self.me.data_centre, weighed);
+        let before = std::mem::replace(&mut self.shares, shares);
+        before.staffed.difference(&self.shares.staffed).for_each(|gone| self.absent.insert(*gone));
+        self.shares.staffed.iter().for_each(|there| self.absent.remove(*there));
+    }
+
+    /// Executors of these data centres have renewed their registrations.
+    pub(crate) fn hear_executors(&mut self, now: Time, data_centres: &[DataCentreId]) {
+        data_centres.iter().for_each(|data_centre| self.absent.hear(now, *data_centre));
+    }
+
+    /// Gives up on data centres whose entries stay away while their executors are there; returns whether
+    /// that changed what is to be kept.
+    pub(crate) fn give_up_absent(&mut self, now: Time, patience: Span) -> bool {
+        self.absent.give_up(now, patience)
     }
 
     fn weigh(&self, homes: &[Home]) -> Vec<(Home, Weight)> {
