--- a/components/membership/tests/mesh.rs
+++ b/components/membership/tests/mesh.rs
@@ -123,7 +123,7 @@
 fn an_entry_with_weight_that_goes_changes_few_connections() {
     let homes = site(&[40; 5]);
     let weigh = |homes: &[Home]| {
-        let weight = |home: &Home| Weight(u32::from(home.entry.0 % 8 == 0));
+        let weight = |home: &Home| Weight(u32::from(home.entry.0.is_multiple_of(8)));
         homes.iter().map(|home| (*home, weight(home))).collect::<Vec<_>>()
     };
     let before = weigh(&homes);
