Processors of entries are remembered beyond 2,000 entries; remembered executors are looked up by set

Cause: found by looking for limits that only hold while the fleet is small. Above 2,000 entries each list of the store made an entry forget the processors of all others first, so that one that was connected but no longer listed counted as without processor: its executors went to others. And each time 64 executors had been replaced, all remembered ones were compared with all listed ones: 6.4 million comparisons at 2,500, under the lock of all decisions.

The second has no test: it changes no behaviour.

--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -11,7 +11,7 @@
     executor::{Answered, Started},
     job::{Answer, Run},
 };
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{EndpointId, Home, WaiterId},
     unit::Time,
@@ -282,9 +282,10 @@
 
 impl Core {
     fn remember(&mut self, executors: &[Executor]) {
-        let listed = executors.len();
-        if self.executors.len() > listed + REMEMBERED {
-            self.executors.retain(|id, _| executors.iter().any(|executor| executor.id == *id));
+        if self.executors.len() > executors.len() + REMEMBERED {
+            let listed: FxHashSet<EndpointId> =
+                executors.iter().map(|executor| executor.id).collect();
+            self.executors.retain(|id, _| listed.contains(id));
         }
         let known = executors.iter().map(|executor| (executor.id, Arc::new(executor.clone())));
         self.executors.extend(known);
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -19,8 +19,9 @@
 /// The part of a fencing token that differs between entries.
 const ENTRY_MASK: u64 = (1 << TRY_SHIFT) - 1;
 
-/// Entries whose processor is remembered. Above those of a site and their replacements in a week.
-const MOST_PROCESSORS: usize = 2_000;
+/// Entries whose processor is remembered though neither the store nor a connection tells of them: they
+/// may only be cut off.
+const MOST_MISSING: usize = 1_000;
 
 /// The entries as this one sees them: those that the platform's store lists, and those that a
 /// connection is up to, since a live entry may be cut off from the store.
@@ -102,19 +103,27 @@
     /// Notes what entries may use; returns whether that changed anything. Entries that are no longer
     /// listed may still be connected.
     pub(crate) fn set_processors(&mut self, processors: Vec<(EntryId, Cores)>) -> bool {
-        if self.processors.len() > MOST_PROCESSORS {
-            self.processors.clear();
-        }
+        let present = processors.len() + self.linked.len();
         let mut changed = false;
         for (entry, cores) in processors {
             changed |= self.processors.insert(entry, cores) != Some(cores);
         }
+        if self.processors.len() > present + MOST_MISSING {
+            self.forget_processors();
+        }
         if changed {
             self.share_out();
         }
         changed
     }
 
+    /// Forgets the processors of entries that are neither listed nor connected.
+    fn forget_processors(&mut self) {
+        let present: FxHashSet<EntryId> =
+            self.listed.iter().chain(&self.linked).map(|home| home.entry).collect();
+        self.processors.retain(|entry, _| present.contains(entry));
+    }
+
     /// The store was seen at this revision, here or by a peer.
     pub(crate) fn see(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
--- a/components/runs/tests/keepers.rs
+++ b/components/runs/tests/keepers.rs
@@ -9,7 +9,14 @@
     id::{EndpointId, Home},
     unit::{Cores, Revision, Time},
 };
-use std::path::PathBuf;
+use std::{collections::BTreeSet, path::PathBuf};
+
+fn looked(action: &Action) -> Option<EndpointId> {
+    match action {
+        Action::Look(look) => Some(look.executor),
+        _ => None,
+    }
+}
 
 /// Executors of the data centre that an entry begins to keep, of 40, beside others with the given
 /// processors in thousandths of a core.
@@ -31,10 +38,6 @@
     for step in 1..50 {
         entry.handle(Time(step * 20_000), Event::Tick, &mut out);
     }
-    let looked = |action: &Action| match action {
-        Action::Look(look) => Some(look.executor),
-        _ => None,
-    };
     let mut kept: Vec<_> = out.iter().filter_map(looked).collect();
     kept.sort_unstable();
     kept.dedup();
@@ -47,6 +50,35 @@
     assert_eq!(kept(500, &[120, 120, 120]), 40);
 }
 
+/// The processors of all entries of a large site are remembered, also of one that the store lists no more.
+#[test]
+fn a_large_entry_that_is_only_connected_goes_on_keeping() {
+    let homes: Vec<Home> = (0..2_500).map(|number| home(&format!("entry-{number}"))).collect();
+    let (me, large) = (homes[0], homes[1]);
+    let mut entry = Entry::new(me, Options::default(), Time(0));
+    let mut out = Vec::new();
+    let list = |entry: &mut Entry, revision: u64, members: &[Home], out: &mut Vec<Action>| {
+        let cores = |home: &Home| if [me, large].contains(home) { 1_000 } else { 4 };
+        let processors = members.iter().map(|home| (home.entry, Cores(cores(home)))).collect();
+        entry.handle(Time(0), Event::Processors(processors), out);
+        let members = members.to_vec();
+        entry.handle(Time(0), Event::Members { revision: Revision(revision), members }, out);
+    };
+    list(&mut entry, 41, &homes, &mut out);
+    entry.handle(Time(0), Event::PeerUp { peer: large }, &mut out);
+    list(&mut entry, 42, &[&[me], &homes[2..]].concat(), &mut out);
+    let named = |number| {
+        let name = format!("i-{number}");
+        Executor { id: EndpointId::of(&name), name: name.into(), ..executor() }
+    };
+    entry.handle(Time(0), Event::Executors((0..40).map(named).collect()), &mut out);
+    for step in 1..50 {
+        entry.handle(Time(step * 20_000), Event::Tick, &mut out);
+    }
+    let looks: BTreeSet<_> = out.iter().filter_map(looked).collect();
+    assert!((8..33).contains(&looks.len()), "{} of 40 are kept by one of two", looks.len());
+}
+
 #[test]
 fn entries_that_are_alike_share_evenly() {
     for cores in [0, 120, 250] {
