The life that answers the latest look is the present one, whatever its birth says; account of the fleet

Cause, found in reading: a life whose machine's time of day was set back tells an earlier birth than the one before; its lists were taken for overtaken ones for good, and it was looked at again at each tick. And a registration of a new life that was leaving already was taken for one that is not.

Tests: two more in runs/tests/lives.rs, both fail without the change (the first never completes, the second starts); the overtaken answer is now one to a look that was given up, which is how one can come.

--- a/components/runs/src/keeper/hold.rs
+++ b/components/runs/src/keeper/hold.rs
@@ -112,9 +112,7 @@
                     lease.silent = 0;
                     log_keep(lease, KeepChange::Answers, out);
                 }
-                if !self.meet(now, id, lists.born, out) {
-                    return;
-                }
+                self.meet(now, id, lists.born, out);
                 self.take_lists(now, id, sent, lists, out);
             }
             Answered::Fenced => self.fenced(now, id, out),
--- a/components/runs/src/keeper/life.rs
+++ b/components/runs/src/keeper/life.rs
@@ -15,14 +15,14 @@
 use site::{id::EndpointId, unit::Time};
 use std::cmp::Ordering;
 
-/// How a birth that an executor tells relates to the life that is known.
+/// How a birth that was told relates to the life that is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Life {
     /// It is that one, or lives can't be told apart by it.
     Known,
     /// It is a later one.
     New,
-    /// It is an earlier one: the answer was overtaken.
+    /// It is an earlier one: what tells it was overtaken.
     Past,
 }
 
@@ -40,7 +40,6 @@
     /// Forgets what held for the life before.
     fn begin_life(&mut self, now: Time, born: Option<Birth>) {
         self.executor.born = born;
-        self.executor.leaving = false;
         self.life_since = now;
         self.clock = None;
         self.deadline = 0;
@@ -52,28 +51,21 @@
 }
 
 impl Keeper {
-    /// Takes the life in that an executor's lists are of. Returns whether they hold.
+    /// Takes the life in that answers the latest look. Whatever its birth says, it is the present one: the
+    /// time of day of its machine may have been set back.
     pub(super) fn meet(
         &mut self,
         now: Time,
         id: EndpointId,
         told: Option<Birth>,
         out: &mut Vec<Action>,
-    ) -> bool {
-        let Some(lease) = self.leases.get_mut(&id) else { return false };
+    ) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
         match lease.life(told) {
-            Life::Known => {
-                lease.executor.born = lease.executor.born.or(told);
-                true
-            }
-            Life::New => {
+            Life::Known => lease.executor.born = lease.executor.born.or(told),
+            Life::New | Life::Past => {
                 lease.begin_life(now, told);
                 log_keep(lease, KeepChange::Reborn, out);
-                true
-            }
-            Life::Past => {
-                lease.look_at = Some(now);
-                false
             }
         }
     }
--- a/components/runs/tests/lives.rs
+++ b/components/runs/tests/lives.rs
@@ -201,6 +201,34 @@
     assert_eq!(scene.answers, [Answer::Completed; 4]);
 }
 
+/// The machine's time of day was set back while the executor was down.
+#[test]
+fn a_later_life_may_have_an_earlier_birth() {
+    let mut scene = Scene::new(vec![named("i-1")]);
+    let id = EndpointId::of("i-1");
+    scene.crash(id);
+    scene.life(id).born = Some(Birth(0));
+    scene.wait(Span::from_secs(1));
+    scene.submit();
+    scene.wait(Span::from_millis(50));
+    scene.life(id).end_all();
+    scene.wait(Span::from_millis(300));
+    assert_eq!(scene.answers, [Answer::Completed]);
+}
+
+/// The store tells of a new life that is leaving already.
+#[test]
+fn a_new_life_that_is_leaving_gets_no_task() {
+    let mut scene = Scene::new(vec![named("i-1")]);
+    scene.crash(EndpointId::of("i-1"));
+    let reborn = Executor { born: Some(Birth(2)), leaving: true, ..named("i-1") };
+    scene.handle(Event::Executors(vec![reborn]));
+    scene.wait(Span::from_secs(1));
+    scene.submit();
+    scene.wait(Span::from_millis(300));
+    assert!(scene.starts.is_empty(), "{:?}", scene.starts);
+}
+
 #[test]
 fn a_run_of_an_earlier_life_goes_on_elsewhere() {
     let mut scene = Scene::new(vec![named("i-1"), named("i-2")]);
@@ -229,7 +257,7 @@
     assert!(scene.starts[0].2 <= clock + lease, "{:?} at {clock}", scene.starts);
 }
 
-/// An answer of the life before arrives after one of the new life.
+/// The answer to a look that was given up arrives after one of the new life.
 #[test]
 fn lists_of_an_earlier_life_change_nothing() {
     let mut scene = Scene::new(vec![named("i-1")]);
@@ -242,8 +270,7 @@
     scene.handle(Event::Tick);
     let ended = vec![Ended { number: 9, run: Some(run), how: How::Stopped }];
     let old = Lists { clock: 90_000, born: Some(Birth(1)), running: Vec::new(), ended };
-    let number = scene.looks.pop().map_or(0, |look| look.number);
-    scene.handle(Event::Looked { executor, number, reply: Answered::Done(old) });
+    scene.handle(Event::Looked { executor, number: 1, reply: Answered::Done(old) });
     scene.wait(Span::from_millis(100));
     scene.life(executor).end_all();
     scene.wait(Span::from_millis(300));
