Log what was known of a run that ended, and tell an unsent start from a missing run

A start that never left the process and one that was refused were logged as 'missing', the same word as for a run that its executor no longer lists: they are 'unsent' and 'refused' now. No decision changes.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -375,6 +375,8 @@
             return format!("was refused: {}", line.text("why")).into();
         }
         _ => match line.fields.get("how").and_then(|how| how.as_str()) {
+            Some("unsent") => "was never sent to its executor",
+            Some("refused") => "was refused by its executor",
             Some("missing") => "is no longer listed by its executor",
             Some("lease-over") => "was lost: the executor was silent until its lease was over",
             Some("executor-gone") => "was lost with its executor",
--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -102,7 +102,7 @@
     match decision {
         Decision::Admit { .. } | Decision::Place { .. } | Decision::Start { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
-        Decision::RunEnded { how, .. } => *how == Ending::Missing,
+        Decision::RunEnded { how, .. } => matches!(how, Ending::Unsent | Ending::Refused),
         Decision::Keep { change, .. } => *change == KeepChange::Look,
         Decision::StartRefused { .. }
         | Decision::StopRun { .. }
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -157,6 +157,9 @@
         how: Ending,
         /// Time since its start was sent.
         after: Span,
+        /// Time since the executor last confirmed or listed it; `None` if it never did, so that it
+        /// may not have begun.
+        last_seen: Option<Span>,
     },
     /// A run was stopped.
     StopRun {
@@ -179,6 +182,8 @@
         end: End,
         /// How often the task has failed.
         failures: u16,
+        /// How many executors were lost under it.
+        executors_lost: u16,
         /// Whether another run follows.
         again: bool,
     },
@@ -270,6 +275,10 @@
 pub enum Ending {
     /// The executor listed the end.
     Listed(RunResult),
+    /// The start never left this process.
+    Unsent,
+    /// The executor refused the start.
+    Refused,
     /// The executor lists neither the run nor its end.
     Missing,
     /// The executor did not respond until its lease must have expired.
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -186,8 +186,8 @@
                 false => Vec::new(),
             };
         }
-        let failures = task.failures;
-        let fatal = match task.executors_lost >= MAX_EXECUTORS_LOST {
+        let (failures, executors_lost) = (task.failures, task.executors_lost);
+        let fatal = match executors_lost >= MAX_EXECUTORS_LOST {
             true => Some(Reason::ExecutorsLost),
             false => (failures >= open.job.max_failures).then_some(Reason::Failures),
         };
@@ -198,6 +198,7 @@
             run: ended.run,
             end: ended.end,
             failures,
+            executors_lost,
             again: fatal.is_none() && !late,
         }));
         match (fatal, late) {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -320,6 +320,7 @@
                 executor: lease.executor.name.clone(),
                 how,
                 after: now.since(live.sent),
+                last_seen: live.seen.map(|seen| now.since(seen)),
             }));
         }
         if end == End::Done {
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -141,7 +141,7 @@
                 }
                 self.start_refused(now, id, run, why, out);
             }
-            StartResponse::Unsent => self.end_run(now, id, run, End::NotRun, Ending::Missing, out),
+            StartResponse::Unsent => self.end_run(now, id, run, End::NotRun, Ending::Unsent, out),
             StartResponse::Unknown => {
                 if let Some(live) = lease.runs.get_mut(run)
                     && live.state == State::Starting
@@ -177,14 +177,14 @@
             Refusal::OldRun => return self.old_run(now, id, run, out),
             Refusal::Unhealthy | Refusal::Invalid => {}
         }
-        self.end_run(now, id, run, End::NotRun, Ending::Missing, out);
+        self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
     }
 
     /// A run of the task with a higher number was there: its caller's earlier submission reached
     /// another entry.
     fn old_run(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
         let before = self.ends.len();
-        self.end_run(now, id, run, End::NotRun, Ending::Missing, out);
+        self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
         if let Some(ended) = self.ends.get_mut(before) {
             ended.run += OLD_RUN_STEP;
         }
