--- a/components/runs/tests/common/mod.rs
+++ b/components/runs/tests/common/mod.rs
@@ -2,4 +2,5 @@
 
 #![allow(dead_code, reason = "each test uses a part of it")]
 
+pub(crate) mod executors;
 pub(crate) mod fixture;
--- a/components/runs/tests/incarnations.rs
+++ b/components/runs/tests/incarnations.rs
@@ -3,193 +3,19 @@
 
 mod common;
 
-use common::fixture::{executor, home, job, needs};
+use common::{
+    executors::{Process, Scene, TICK_INTERVAL, named, service},
+    fixture::needs,
+};
 use runs::{
-    Action, Entry, Event, Executor, Job, Options,
-    action::Poll,
-    executor::{Ended, Incarnation, Listing, Response, RunResult, Service, StartResponse},
+    Event, Executor, Options,
+    executor::{Ended, Incarnation, Listing, Response, RunResult},
     job::{Answer, Run},
 };
 use site::{
-    id::{EndpointId, ServiceId, WaiterId},
-    unit::{Cores, Resources, Revision, Slots, Span, Time},
+    id::EndpointId,
+    unit::{Cores, Resources, Slots, Span},
 };
-use std::collections::BTreeMap;
-
-const TICK_INTERVAL: Span = Span::from_millis(5);
-
-/// One simulated executor.
-struct FakeExecutor {
-    incarnation: Option<Incarnation>,
-    started_at: Time,
-    running: Vec<Run>,
-    ended: Vec<Ended>,
-    /// Whether it responds to anything.
-    is_up: bool,
-}
-
-/// An entry and its executors, which respond to orders at once.
-struct Scene {
-    entry: Entry,
-    now: Time,
-    executors: BTreeMap<EndpointId, FakeExecutor>,
-    starts: Vec<(EndpointId, Run, u64)>,
-    polls: Vec<Poll>,
-    answers: Vec<Answer>,
-    jobs: u64,
-}
-
-impl Scene {
-    fn new(executors: Vec<Executor>) -> Self {
-        let me = home("entry-1");
-        let now = Time(1_000_000);
-        let mut scene = Scene {
-            entry: Entry::new(me, Options::default(), now),
-            now,
-            executors: executors
-                .iter()
-                .map(|e| (e.id, FakeExecutor::new(e.incarnation, now)))
-                .collect(),
-            starts: Vec::new(),
-            polls: Vec::new(),
-            answers: Vec::new(),
-            jobs: 0,
-        };
-        scene.handle(Event::Members { revision: Revision(41), members: vec![me] });
-        scene.handle(Event::Executors(executors));
-        scene.wait(Span::from_millis(300));
-        scene
-    }
-
-    fn handle(&mut self, event: Event) {
-        let mut waiting = vec![event];
-        while let Some(event) = waiting.pop() {
-            let mut out = Vec::new();
-            self.entry.handle(self.now, event, &mut out);
-            waiting.extend(out.into_iter().filter_map(|action| self.carry_out(action)));
-        }
-    }
-
-    fn carry_out(&mut self, action: Action) -> Option<Event> {
-        match action {
-            Action::Start(start) => {
-                self.starts.push((start.executor, start.run.clone(), start.deadline));
-                let fake = self.executors.get_mut(&start.executor)?;
-                let reply = match fake.is_up {
-                    true => {
-                        fake.running.push(start.run.clone());
-                        StartResponse::Running { clock: fake.clock(self.now) }
-                    }
-                    false => StartResponse::Unknown,
-                };
-                Some(Event::Started { executor: start.executor, run: start.run, reply })
-            }
-            Action::Poll(poll) => {
-                self.polls.push(poll);
-                None
-            }
-            Action::Answer { answer, .. } => {
-                self.answers.push(answer);
-                None
-            }
-            Action::Stop { executor, run, .. } => {
-                Some(Event::Stopped { executor, run, reply: Response::Done(()) })
-            }
-            _ => None,
-        }
-    }
-
-    /// Responds to the outstanding polls.
-    fn respond_to_polls(&mut self) {
-        for poll in std::mem::take(&mut self.polls) {
-            let fake = &self.executors[&poll.executor];
-            let reply = match fake.is_up {
-                true => Response::Done(fake.listing(self.now, poll.acknowledged)),
-                false => Response::Silent,
-            };
-            self.handle(Event::Polled { executor: poll.executor, number: poll.number, reply });
-        }
-    }
-
-    fn wait(&mut self, span: Span) {
-        let until = self.now + span;
-        while self.now < until {
-            self.now = self.now + TICK_INTERVAL;
-            self.handle(Event::Tick);
-            self.respond_to_polls();
-        }
-    }
-
-    /// Submits a job of one task of about a second, with a deadline far in the future.
-    fn submit(&mut self) {
-        self.jobs += 1;
-        let job = Job {
-            name: format!("{:016x}", self.jobs).into(),
-            due: self.now + Span::from_secs(20),
-            give_up: self.now + Span::from_secs(30),
-            ..job(self.now)
-        };
-        self.handle(Event::Submit { waiter: WaiterId(self.jobs), job });
-    }
-
-    fn executor(&mut self, id: EndpointId) -> &mut FakeExecutor {
-        self.executors.get_mut(&id).expect("an executor of the test")
-    }
-
-    /// The executor of the latest start.
-    fn latest(&self) -> EndpointId {
-        self.starts.last().expect("a start").0
-    }
-
-    /// The executor crashes and is back at once, in a later incarnation.
-    fn crash(&mut self, id: EndpointId) {
-        let now = self.now;
-        let fake = self.executor(id);
-        let incarnation = fake.incarnation.map(|incarnation| Incarnation(incarnation.0 + 1));
-        *fake = FakeExecutor::new(incarnation, now);
-    }
-}
-
-impl FakeExecutor {
-    fn new(incarnation: Option<Incarnation>, started_at: Time) -> Self {
-        Self { incarnation, started_at, running: Vec::new(), ended: Vec::new(), is_up: true }
-    }
-
-    fn clock(&self, now: Time) -> u64 {
-        now.since(self.started_at).0 / 1_000
-    }
-
-    fn listing(&self, now: Time, acknowledged: u64) -> Listing {
-        let ended = self.ended.iter().filter(|ended| ended.number > acknowledged);
-        Listing {
-            clock: self.clock(now),
-            incarnation: self.incarnation,
-            running: self.running.clone(),
-            ended: ended.cloned().collect(),
-        }
-    }
-
-    fn end_all(&mut self) {
-        for run in std::mem::take(&mut self.running) {
-            let number = self.ended.len() as u64 + 1;
-            self.ended.push(Ended { number, run: Some(run), result: RunResult::Done });
-        }
-    }
-}
-
-fn named(name: &str) -> Executor {
-    Executor {
-        id: EndpointId::of(name),
-        name: name.into(),
-        incarnation: Some(Incarnation(1)),
-        ..executor()
-    }
-}
-
-fn service(guards_capacity: bool) -> Event {
-    let service = Service { id: ServiceId::of("service"), guards_capacity };
-    Event::Configured { version: 1, services: vec![service] }
-}
 
 #[test]
 fn ends_of_a_new_incarnation_count_although_their_numbers_restart() {
@@ -313,7 +139,7 @@
     for _ in 0..3 {
         scene.wait(Span::from_millis(100));
         let latest = scene.latest();
-        scene.executor(latest).is_up = false;
+        scene.executor(latest).process = Process::Silent;
         scene.wait(Span::from_secs(2));
     }
     assert_eq!(scene.starts.len(), 2);
@@ -336,7 +162,7 @@
 #[test]
 fn a_crashed_idle_executor_gets_no_task_until_it_answers_again() {
     let mut scene = Scene::new(vec![named("i-1")]);
-    scene.executor(EndpointId::of("i-1")).is_up = false;
+    scene.executor(EndpointId::of("i-1")).process = Process::Silent;
     scene.wait(Span::from_secs(2));
     scene.submit();
     scene.wait(Span::from_millis(100));
