Tests that fail: answers of jobs whose executors were lost

On this code a job is answered 'failed' after two starts that the next incarnations rejected, after two expired leases, through a handover and a resubmission as well; an executor that is gone gets 6 of 6 jobs while it is registered; one that refuses connections gets 101 starts of one task in 500 ms; and a job with a run that was stopped before its executor restarted is rejected as not run.

--- a/components/runs/tests/common/executors.rs
+++ b/components/runs/tests/common/executors.rs
@@ -22,6 +22,8 @@
     Up,
     /// Something that never responds.
     Silent,
+    /// Nothing: connections are refused, so that no order is sent.
+    Down,
     /// The next incarnation, which has another name and rejects orders for the executor.
     Replaced,
 }
@@ -43,7 +45,11 @@
     /// Executor, run and lease deadline of each start.
     pub(crate) starts: Vec<(EndpointId, Run, u64)>,
     polls: Vec<Poll>,
+    /// Results of starts that were not sent, which arrive with the next tick.
+    unsent: Vec<Event>,
     pub(crate) answers: Vec<Answer>,
+    /// Number of stops that were carried out.
+    stops: usize,
     jobs: u64,
 }
 
@@ -60,7 +66,9 @@
                 .collect(),
             starts: Vec::new(),
             polls: Vec::new(),
+            unsent: Vec::new(),
             answers: Vec::new(),
+            stops: 0,
             jobs: 0,
         };
         scene.handle(Event::Members { revision: Revision(41), members: vec![me] });
@@ -89,6 +97,12 @@
                         StartResponse::Running { clock: fake.clock(self.now) }
                     }
                     Process::Silent => StartResponse::Unknown,
+                    Process::Down => {
+                        let reply = StartResponse::Unsent;
+                        let (executor, run) = (start.executor, start.run);
+                        self.unsent.push(Event::Started { executor, run, reply });
+                        return None;
+                    }
                     Process::Replaced => StartResponse::Gone,
                 };
                 Some(Event::Started { executor: start.executor, run: start.run, reply })
@@ -103,8 +117,11 @@
             }
             Action::Stop { executor, run, .. } => {
                 let reply = match self.executors[&executor].process {
-                    Process::Up => Response::Done(()),
-                    Process::Silent => Response::Silent,
+                    Process::Up => {
+                        self.stops += 1;
+                        Response::Done(())
+                    }
+                    Process::Silent | Process::Down => Response::Silent,
                     Process::Replaced => Response::Gone,
                 };
                 Some(Event::Stopped { executor, run, reply })
@@ -119,7 +136,7 @@
             let fake = &self.executors[&poll.executor];
             let reply = match fake.process {
                 Process::Up => Response::Done(fake.listing(self.now, poll.acknowledged)),
-                Process::Silent => Response::Silent,
+                Process::Silent | Process::Down => Response::Silent,
                 Process::Replaced => Response::Gone,
             };
             self.handle(Event::Polled { executor: poll.executor, number: poll.number, reply });
@@ -131,10 +148,22 @@
         while self.now < until {
             self.now = self.now + TICK_INTERVAL;
             self.handle(Event::Tick);
+            std::mem::take(&mut self.unsent).into_iter().for_each(|event| self.handle(event));
             self.respond_to_polls();
         }
     }
 
+    /// Waits until a stop is carried out.
+    pub(crate) fn wait_for_stop(&mut self) {
+        while self.stops == 0 {
+            self.now = self.now + TICK_INTERVAL;
+            self.handle(Event::Tick);
+            if self.stops == 0 {
+                self.respond_to_polls();
+            }
+        }
+    }
+
     /// Submits a job of one task of about a second, with a deadline far in the future.
     pub(crate) fn submit(&mut self) {
         self.jobs += 1;
