Use no executor again whose incarnation has ended

Cause: 'gone' was kept as 'leaving' in the copy of the registration, which the next list of registrations replaced. It is a fact about the incarnation now, and ends with the next one.

--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Records a new incarnation. Resets the clock, the lease deadline, the numbers of handled
+    /// Records a new incarnation. Resets `gone`, the clock, the lease deadline, the numbers of handled
     /// ends, the missed polls and `full_until`. The token, `tries`, `inherited_until`, slowness,
     /// health, `last_completed` and the runs stay: the next listing decides about the runs.
     fn begin_incarnation(
@@ -50,6 +50,7 @@
     ) {
         self.executor.incarnation = incarnation;
         self.incarnation_since = now;
+        self.gone = false;
         self.clock = None;
         self.deadline = 0;
         self.acknowledged = 0;
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -27,6 +27,8 @@
     pub(crate) tries: u8,
     /// When this entry learnt of the executor's current incarnation.
     pub(crate) incarnation_since: Time,
+    /// Whether that incarnation has ended. The store may list it until its registration expires.
+    pub(crate) gone: bool,
     /// `None` until the executor has responded.
     pub(crate) clock: Option<Clock>,
     /// The latest lease deadline that was sent, on the executor's clock. Everything that runs there
@@ -152,6 +154,7 @@
             token: 0,
             tries: 0,
             incarnation_since: Time(0),
+            gone: false,
             clock: None,
             deadline: 0,
             inherited_until: Time(0),
@@ -184,6 +187,7 @@
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         self.phase == Phase::Ready
             && !self.executor.leaving
+            && !self.gone
             && self.missed_polls == 0
             && self.full_until <= now
             && self.knows_clock(now)
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -308,9 +308,8 @@
     /// The executor's incarnation has ended, and with it everything that ran there.
     pub(super) fn executor_gone(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
         let Some(lease) = self.leases.get_mut(&id) else { return };
-        let first = !lease.executor.leaving;
-        lease.executor.leaving = true;
-        if first {
+        if !lease.gone {
+            lease.gone = true;
             log_keep(lease, KeepChange::Gone, out);
         }
         let runs: Vec<_> = lease.runs.keys().cloned().collect();
--- a/components/runs/src/keeper/room.rs
+++ b/components/runs/src/keeper/room.rs
@@ -74,7 +74,7 @@
         self.is_configured(lease.executor.service)
             && self.allows_starts(&lease.executor)
             && (lease.is_usable(now)
-                || is_coming && !lease.executor.leaving && lease.missed_polls == 0)
+                || is_coming && !lease.executor.leaving && !lease.gone && lease.missed_polls == 0)
     }
 
     /// Whether health and cordon allow starts on an executor.
