A start that the next incarnation rejects has not run, and is no crash

Cause: executors that crash while idle are not noticed until their registrations expire. The next process at the address answers a start for the old name with 421, and the keeper ended every run that it tracked there as executor-lost, among them the very start that was rejected and others under way, whose own rejections were still to come. Two of those and the job was failed. Now the rejected start counts as not run, and a run whose start has no response yet waits for it: rejected is not run, no response is a loss, confirmed is a crash.

--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -305,14 +305,21 @@
         }
     }
 
-    /// The executor's incarnation has ended, and with it everything that ran there.
+    /// The executor's incarnation has ended, and with it everything that ran there. Runs whose start
+    /// has got no response yet are left to that response: the start may have been rejected.
     pub(super) fn executor_gone(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
         let Some(lease) = self.leases.get_mut(&id) else { return };
         if !lease.gone {
             lease.gone = true;
             log_keep(lease, KeepChange::Gone, out);
         }
-        let runs: Vec<_> = lease.runs.keys().cloned().collect();
+        let is_known = |live: &TrackedRun| live.state != State::Starting;
+        let runs: Vec<_> = lease
+            .runs
+            .iter()
+            .filter(|(_, live)| is_known(live))
+            .map(|(run, _)| run.clone())
+            .collect();
         for run in runs {
             self.end_run(now, id, &run, End::ExecutorLost, Ending::ExecutorGone, out);
         }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -134,6 +134,9 @@
                         live.state = State::Running { since: now };
                     }
                 }
+                if self.leases.get(&id).is_some_and(|lease| lease.gone) {
+                    self.executor_gone(now, id, out);
+                }
             }
             StartResponse::Refused { clock, why } => {
                 if let Some(clock) = clock {
@@ -149,8 +152,11 @@
                     live.state = State::Unconfirmed { since: now };
                     lease.poll_at.get_or_insert(now);
                 }
+                if lease.gone {
+                    self.executor_gone(now, id, out);
+                }
             }
-            StartResponse::Gone => self.executor_gone(now, id, out),
+            StartResponse::Gone => self.start_rejected(now, id, run, out),
         }
     }
 
@@ -180,6 +186,16 @@
         self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
     }
 
+    /// Another incarnation rejected the start, so this run never began. What else was on the
+    /// executor has ended.
+    fn start_rejected(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
+        let has_begun = self.leases.get(&id).and_then(|lease| lease.runs.get(run));
+        if has_begun.is_some_and(|live| live.seen.is_none()) {
+            self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
+        }
+        self.executor_gone(now, id, out);
+    }
+
     /// A run of the task with a higher number was there: its caller's earlier submission reached
     /// another entry.
     fn old_run(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
--- a/components/runs/tests/common/executors.rs
+++ b/components/runs/tests/common/executors.rs
@@ -166,8 +166,14 @@
 
     /// Submits a job of one task of about a second, with a deadline far in the future.
     pub(crate) fn submit(&mut self) {
+        self.submit_tasks(1);
+    }
+
+    /// The same with several tasks.
+    pub(crate) fn submit_tasks(&mut self, tasks: u16) {
         self.jobs += 1;
         let job = Job {
+            tasks,
             name: format!("{:016x}", self.jobs).into(),
             due: self.now + Span::from_secs(20),
             give_up: self.now + Span::from_secs(30),
--- a/components/runs/tests/executor_losses.rs
+++ b/components/runs/tests/executor_losses.rs
@@ -53,6 +53,20 @@
     assert_eq!(complete(&mut scene), [Answer::Completed]);
 }
 
+/// The response to one start is there before those to others sent to the same executor.
+#[test]
+fn starts_of_several_tasks_rejected_by_the_next_incarnations_are_no_crashes() {
+    let mut scene = scene(3);
+    let executors: Vec<_> = scene.executors.keys().copied().collect();
+    for id in &executors[1..] {
+        scene.executor(*id).process = Process::Replaced;
+    }
+    scene.submit_tasks(3);
+    scene.wait(Span::from_millis(50));
+    assert_eq!(scene.executors[&executors[0]].running.len(), 3);
+    assert_eq!(complete(&mut scene), [Answer::Completed]);
+}
+
 #[test]
 fn expired_leases_of_living_executors_are_no_crashes() {
     let mut scene = scene(3);
