An expired lease is no crash: only a crash under a run that is known counts

Cause: the keeper reported a run whose lease had expired, and any run of an executor whose incarnation had ended, as executor-lost, and the home took two of those for two crashes. The end was classified by what became of the executor, not by what was known of the run. Now executor-crashed is said only of a run that its executor had confirmed, that was not being stopped, on an executor that was not leaving, and whose lease had not expired when the end of the incarnation was found; the job fails at two of them. Everything else stays executor-lost and runs again; at four of both kinds under one task the job is given up (504), so that a task which crashes its executors unseen is not tried on all of them. 'executors-crashed' is the new reason of the answer; explain knows both.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -89,14 +89,24 @@
         /// Number of failures.
         failures: u64,
     },
-    /// Executors crashed or became unresponsive while they ran one of its tasks.
+    /// Executors crashed while they ran one of its tasks.
     #[display(
-        "failed: {executors} executors were lost under task {index}, which may be what crashes them"
+        "failed: {executors} executors crashed under task {index}, which may be what crashes them"
+    )]
+    ExecutorsCrashed {
+        /// Position of the task in the job.
+        index: u64,
+        /// Number of executors that crashed.
+        executors: usize,
+    },
+    /// Executors crashed, or were lost otherwise, while they ran one of its tasks.
+    #[display(
+        "given up after it began: {executors} executors crashed or were lost under task {index}"
     )]
     ExecutorsLost {
         /// Position of the task in the job.
         index: u64,
-        /// Number of executors that were lost.
+        /// Number of executors that crashed or were lost.
         executors: usize,
     },
     /// Its caller left before the answer.
@@ -259,11 +269,12 @@
             waiting: line.number("waiting"),
             room: line.number("room"),
         },
-        ("failed", "executors-lost") => {
-            let lost = |line: &&&Line| line.text("end") == "executor-lost";
-            let index = lines.iter().rev().find(lost).map_or(0, |line| line.number("index"));
-            let of_task = |line: &&&Line| line.number("index") == index;
-            let executors = lines.iter().filter(lost).filter(of_task).count();
+        ("failed", "executors-crashed") => {
+            let (index, executors) = lost_executors(lines, &["executor-crashed"]);
+            Cause::ExecutorsCrashed { index, executors }
+        }
+        ("given-up", "executors-lost") => {
+            let (index, executors) = lost_executors(lines, &["executor-crashed", "executor-lost"]);
             Cause::ExecutorsLost { index, executors }
         }
         ("failed", _) => {
@@ -277,6 +288,14 @@
     }
 }
 
+/// The task whose latest run ended in one of these ways, and how many of its runs did.
+fn lost_executors(lines: &[&Line], ends: &[&str]) -> (u64, usize) {
+    let is_lost = |line: &&&Line| ends.contains(&line.text("end"));
+    let index = lines.iter().rev().find(is_lost).map_or(0, |line| line.number("index"));
+    let of_task = |line: &&&Line| line.number("index") == index;
+    (index, lines.iter().filter(is_lost).filter(of_task).count())
+}
+
 /// What delayed a job that got its answer in the line `answer`.
 fn delay(history: &History, lines: &[&Line], answer: &Line) -> Delay {
     if answer.text("why") == "paused" {
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -182,7 +182,9 @@
         end: End,
         /// How often the task has failed.
         failures: u16,
-        /// How many executors were lost under it.
+        /// How many executors crashed under it.
+        crashes: u16,
+        /// How many more were lost under it.
         executors_lost: u16,
         /// Whether another run follows.
         again: bool,
@@ -313,7 +315,10 @@
     AllDone,
     /// A task failed `max_failures` times.
     Failures,
-    /// Several executors were lost while they ran one of its tasks.
+    /// Several executors crashed while they ran one of its tasks.
+    ExecutorsCrashed,
+    /// More executors were lost under one of its tasks, by a crash or otherwise, than it may put at
+    /// risk.
     ExecutorsLost,
     /// It could not start in time.
     NoRoomInTime,
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Options,
+    action::Reason,
     job::{self, Job, Key},
 };
 use site::{
@@ -14,6 +15,14 @@
 /// back after 10 ms.
 const ASSUMED_RUNNING_AFTER: Span = Span::from_millis(50);
 
+/// A job fails when this many executors crashed under one of its tasks: the task may be what
+/// crashes them, and each crash ends everything else that runs on the executor.
+const MAX_CRASHES: u16 = 2;
+
+/// A job is given up when this many executors crashed or were lost under one of its tasks. A crash
+/// can't always be told from a lost connection.
+const MAX_EXECUTORS_LOST: u16 = 4;
+
 /// A job whose caller waits for the answer.
 #[derive(Debug)]
 pub(crate) struct OpenJob {
@@ -35,7 +44,9 @@
     /// Number of its next run.
     pub(crate) run: u32,
     pub(crate) failures: u16,
-    /// Number of executors that were lost while they ran it.
+    /// Number of executors that crashed while they ran it.
+    pub(crate) crashes: u16,
+    /// Number of other executors that were lost when it was sent to them, or ran there.
     pub(crate) executors_lost: u16,
     /// Executors on which earlier runs failed or were lost.
     pub(crate) avoid: Vec<EndpointId>,
@@ -58,12 +69,28 @@
     Done,
 }
 
+impl OpenTask {
+    /// The reason to end the job because of how this task's runs ended, if there is one.
+    pub(crate) fn fatal(&self, max_failures: u16) -> Option<Reason> {
+        if self.crashes >= MAX_CRASHES {
+            Some(Reason::ExecutorsCrashed)
+        } else if self.failures >= max_failures {
+            Some(Reason::Failures)
+        } else if self.crashes + self.executors_lost >= MAX_EXECUTORS_LOST {
+            Some(Reason::ExecutorsLost)
+        } else {
+            None
+        }
+    }
+}
+
 impl OpenJob {
     pub(crate) fn new(now: Time, key: Key, waiter: WaiterId, job: Job) -> Self {
         let task = || OpenTask {
             state: TaskState::Pending { from: now },
             run: job.first_run,
             failures: 0,
+            crashes: 0,
             executors_lost: 0,
             avoid: Vec::new(),
         };
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -25,10 +25,6 @@
     unit::Time,
 };
 
-/// A job is given up when this many executors were lost under one of its tasks: the task may be
-/// what crashes them, and each crash ends everything else that runs on the executor.
-const MAX_EXECUTORS_LOST: u16 = 2;
-
 /// The open jobs that this entry answers.
 #[derive(Debug)]
 pub(crate) struct Jobs {
@@ -167,17 +163,18 @@
         open.ran |= ended.end != End::NotRun;
         task.state = match ended.end {
             End::Done => TaskState::Done,
-            End::Failed | End::Lost | End::ExecutorLost | End::NotRun => {
+            End::Failed | End::Lost | End::ExecutorLost | End::ExecutorCrashed | End::NotRun => {
                 TaskState::Pending { from: now }
             }
             End::Unsure => TaskState::Pending { from: now + self.options.unsure_wait },
         };
         match ended.end {
             End::Failed => task.failures += 1,
+            End::ExecutorCrashed => task.crashes += 1,
             End::ExecutorLost => task.executors_lost += 1,
             End::Done | End::Lost | End::NotRun | End::Unsure => {}
         }
-        if matches!(ended.end, End::Failed | End::Lost | End::ExecutorLost | End::Unsure) {
+        if !matches!(ended.end, End::Done | End::NotRun) {
             task.avoid.extend(ended.executor);
         }
         if ended.end == End::Done {
@@ -186,11 +183,9 @@
                 false => Vec::new(),
             };
         }
-        let (failures, executors_lost) = (task.failures, task.executors_lost);
-        let fatal = match executors_lost >= MAX_EXECUTORS_LOST {
-            true => Some(Reason::ExecutorsLost),
-            false => (failures >= open.job.max_failures).then_some(Reason::Failures),
-        };
+        let fatal = task.fatal(open.job.max_failures);
+        let (failures, crashes, executors_lost) =
+            (task.failures, task.crashes, task.executors_lost);
         let late = open.is_too_late(now) && open.ran;
         out.push(Action::Log(Decision::TaskEnded {
             job: open.job.name.clone(),
@@ -198,6 +193,7 @@
             run: ended.run,
             end: ended.end,
             failures,
+            crashes,
             executors_lost,
             again: fatal.is_none() && !late,
         }));
@@ -304,7 +300,7 @@
                 let retry_after = self.retry_delays.record_rejection(now, &open.job.name);
                 (Answer::Rejected { retry_after }, "refused")
             }
-            Reason::Failures | Reason::ExecutorsLost => (Answer::Failed, "failed"),
+            Reason::Failures | Reason::ExecutorsCrashed => (Answer::Failed, "failed"),
             _ => (Answer::GivenUp, "given-up"),
         };
         let cores = open.job.needs.cores.0;
--- a/components/runs/src/job.rs
+++ b/components/runs/src/job.rs
@@ -112,9 +112,9 @@
 pub enum Answer {
     /// All tasks completed.
     Completed,
-    /// A task failed too often, or several executors were lost under it.
+    /// A task failed too often, or several executors crashed under it.
     Failed,
-    /// Some task may have run, and the job can't end in time any more.
+    /// Some task may have run, and the job can't end in time any more or is not tried again.
     GivenUp,
     /// No task has started and none will.
     Rejected {
--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -4,9 +4,9 @@
 //! again, and nothing runs. It is detected by the start time in the executor's listing or
 //! registration, whichever arrives first.
 
-use super::{Keeper, Lease, Phase, log_keep};
+use super::{Keeper, Lease, Phase, TrackedRun, log_keep};
 use crate::{
-    Action,
+    Action, Executor,
     action::{Ending, KeepChange},
     executor::Incarnation,
     job::Run,
@@ -39,6 +39,23 @@
         }
     }
 
+    /// Whether a run was sent, and last confirmed, before the current incarnation was known.
+    fn has_restarted_under(&self, live: &TrackedRun) -> bool {
+        live.seen.unwrap_or(live.sent) < self.incarnation_since
+    }
+
+    /// Applies a registration that shows a new incarnation: the executor is polled before its next
+    /// use, and its listing decides about earlier runs.
+    pub(super) fn restart(&mut self, now: Time, registered: Executor, out: &mut Vec<Action>) {
+        self.begin_incarnation(now, registered.incarnation, out);
+        self.executor = registered;
+        if self.is_in_use() {
+            self.phase = Phase::Polling;
+            self.outstanding_poll = None;
+            self.poll_at = Some(now);
+        }
+    }
+
     /// Records a new incarnation. Resets `gone`, the clock, the lease deadline, the numbers of handled
     /// ends, the missed polls and `full_until`. The token, `tries`, `inherited_until`, slowness,
     /// health, `last_completed` and the runs stay: the next listing decides about the runs.
@@ -48,6 +65,10 @@
         incarnation: Option<Incarnation>,
         out: &mut Vec<Action>,
     ) {
+        let ends: Vec<_> = self.runs.values().map(|live| self.loss(now, live)).collect();
+        for (live, end) in self.runs.values_mut().zip(ends) {
+            live.end_if_lost = end;
+        }
         self.executor.incarnation = incarnation;
         self.incarnation_since = now;
         self.gone = false;
@@ -78,24 +99,6 @@
         }
     }
 
-    /// A registration shows a new incarnation: the executor is polled before its next use, and its
-    /// listing decides about earlier runs.
-    pub(super) fn restarted(
-        &mut self,
-        now: Time,
-        id: EndpointId,
-        incarnation: Option<Incarnation>,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(lease) = self.leases.get_mut(&id) else { return };
-        lease.begin_incarnation(now, incarnation, out);
-        if lease.is_in_use() {
-            lease.phase = Phase::Polling;
-            lease.outstanding_poll = None;
-            lease.poll_at = Some(now);
-        }
-    }
-
     /// Ends a run when the executor lists neither it nor its end.
     pub(super) fn end_missing(
         &mut self,
@@ -105,10 +108,9 @@
         out: &mut Vec<Action>,
     ) {
         let Some(lease) = self.leases.get(&id) else { return };
-        let has_restarted =
-            lease.runs.get(run).is_some_and(|live| live.sent < lease.incarnation_since);
-        match has_restarted {
-            true => self.end_run(now, id, run, End::ExecutorLost, Ending::ExecutorGone, out),
+        let Some(live) = lease.runs.get(run) else { return };
+        match lease.has_restarted_under(live) {
+            true => self.end_run(now, id, run, live.end_if_lost, Ending::ExecutorGone, out),
             false => self.end_run(now, id, run, End::Lost, Ending::Missing, out),
         }
     }
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -5,6 +5,7 @@
     action::StopCause,
     clock::{self, Clock, RemoteTime},
     job::{Run, Task},
+    message::End,
 };
 use rustc_hash::FxHashMap;
 use site::{
@@ -115,6 +116,9 @@
     pub(crate) seen: Option<Time>,
     /// Why it is being stopped.
     pub(crate) stop: Option<StopCause>,
+    /// How it ends if its executor never lists it again: a crash if its incarnation is known to
+    /// have ended under it.
+    pub(crate) end_if_lost: End,
 }
 
 /// What is known of a run.
@@ -224,6 +228,20 @@
             && self.clock.is_none_or(|clock| clock.lower_bound(now) > self.deadline)
     }
 
+    /// How a run ended whose incarnation is found to have ended at `now`. It was a crash under the
+    /// run only if the executor had confirmed the run, and neither a stop, a planned leave nor the
+    /// end of its lease can have ended it before.
+    pub(crate) fn loss(&self, now: Time, live: &TrackedRun) -> End {
+        let was_running = live.seen.is_some()
+            && !live.is_being_stopped()
+            && !self.executor.leaving
+            && !self.has_expired(now);
+        match was_running {
+            true => End::ExecutorCrashed,
+            false => End::ExecutorLost,
+        }
+    }
+
     /// Records that a former keeper has just stopped renewing its lease, which lasts `span`.
     pub(crate) fn inherit(&mut self, now: Time, span: Span) {
         self.inherited_until = now + clock::max_local_span(span);
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -132,7 +132,6 @@
         out: &mut Vec<Action>,
     ) {
         self.known = executors.into_iter().map(|executor| (executor.id, executor)).collect();
-        let mut restarted = Vec::new();
         for lease in self.leases.values_mut() {
             let Some(executor) = self.known.get(&lease.executor.id) else {
                 lease.executor.leaving = true;
@@ -140,17 +139,11 @@
             };
             match lease.compare(executor.incarnation) {
                 Age::Same => lease.executor = executor.clone(),
-                Age::Newer => {
-                    restarted.push((executor.id, executor.incarnation));
-                    lease.executor = executor.clone();
-                }
+                Age::Newer => lease.restart(now, executor.clone(), out),
                 // The executor itself reported a later one already.
                 Age::Older => {}
             }
         }
-        restarted
-            .into_iter()
-            .for_each(|(id, incarnation)| self.restarted(now, id, incarnation, out));
     }
 
     /// Applies the services that jobs are sent to.
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -286,9 +286,10 @@
 
     fn lease_expired(&mut self, now: Time, id: EndpointId, out: &mut Vec<Action>) {
         let Some(lease) = self.leases.get(&id) else { return };
-        let runs: Vec<_> = lease.runs.keys().cloned().collect();
-        for run in runs {
-            self.end_run(now, id, &run, End::ExecutorLost, Ending::LeaseOver, out);
+        let runs: Vec<_> =
+            lease.runs.iter().map(|(run, live)| (run.clone(), live.end_if_lost)).collect();
+        for (run, end) in runs {
+            self.end_run(now, id, &run, end, Ending::LeaseOver, out);
         }
     }
 
@@ -313,15 +314,15 @@
             lease.gone = true;
             log_keep(lease, KeepChange::Gone, out);
         }
-        let is_known = |live: &TrackedRun| live.state != State::Starting;
+        let lease = &*lease;
         let runs: Vec<_> = lease
             .runs
             .iter()
-            .filter(|(_, live)| is_known(live))
-            .map(|(run, _)| run.clone())
+            .filter(|(_, live)| live.state != State::Starting)
+            .map(|(run, live)| (run.clone(), lease.loss(now, live)))
             .collect();
-        for run in runs {
-            self.end_run(now, id, &run, End::ExecutorLost, Ending::ExecutorGone, out);
+        for (run, end) in runs {
+            self.end_run(now, id, &run, end, Ending::ExecutorGone, out);
         }
     }
 }
@@ -377,11 +378,13 @@
             state: State::Running { since: now },
             seen: Some(now),
             stop: None,
+            end_if_lost: End::ExecutorLost,
         }
     }
 
     fn confirm(&mut self, now: Time) {
         self.seen = Some(now);
+        self.end_if_lost = End::ExecutorLost;
         if matches!(self.state, State::Starting | State::Unconfirmed { .. }) {
             self.state = State::Running { since: now };
         }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -95,6 +95,7 @@
             state: State::Starting,
             seen: None,
             stop: None,
+            end_if_lost: End::ExecutorLost,
         };
         lease.insert(queued.run.clone(), live);
         out.push(Action::Log(Decision::Start {
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -6,7 +6,7 @@
     Action, Message,
     action::KeepChange,
     job::Run,
-    message::{Moved, Transfer, TransferredRun},
+    message::{End, Moved, Transfer, TransferredRun},
     view::View,
 };
 use site::{
@@ -77,6 +77,7 @@
                 state: State::Unconfirmed { since: now },
                 seen: None,
                 stop: None,
+                end_if_lost: End::ExecutorLost,
             };
             self.health.try_acquire(now, transferred.executor);
             moved.push(Moved { task: inherited.task, run: inherited.run.number });
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -120,13 +120,16 @@
     /// It ended early at an executor that goes on: stopped, ended with the executor's lease, or no
     /// longer listed.
     Lost,
-    /// Its executor's incarnation ended, or the executor was unresponsive until the lease expired.
+    /// Its executor was unresponsive until the lease expired, or its incarnation ended, and the run
+    /// may have ended before that, or never have begun.
     ExecutorLost,
     /// It never started.
     NotRun,
     /// Another keeper has taken over the executor and is about to stop the run,
     /// which may go on until then.
     Unsure,
+    /// Its executor's incarnation ended while it ran.
+    ExecutorCrashed,
 }
 
 /// A keeper's room, load and state.
--- a/components/runs/tests/common/executors.rs
+++ b/components/runs/tests/common/executors.rs
@@ -191,6 +191,17 @@
         self.starts.last().expect("a start").0
     }
 
+    /// An executor that was leaving is back at once, and the store lists its next incarnation.
+    pub(crate) fn restart(&mut self, id: EndpointId, registered: &mut [Executor]) {
+        self.crash(id);
+        let incarnation = self.executor(id).incarnation;
+        for executor in registered.iter_mut().filter(|executor| executor.id == id) {
+            executor.incarnation = incarnation;
+            executor.leaving = false;
+        }
+        self.handle(Event::Executors(registered.to_vec()));
+    }
+
     /// The executor crashes and is back at once, in a later incarnation.
     pub(crate) fn crash(&mut self, id: EndpointId) {
         let now = self.now;
--- a/components/runs/tests/executor_losses.rs
+++ b/components/runs/tests/executor_losses.rs
@@ -116,6 +116,33 @@
     assert_eq!(scene.answers, [Answer::Failed]);
 }
 
+/// Tasks that still run on an executor end when it leaves.
+#[test]
+fn executors_that_left_as_planned_did_not_crash_under_the_task() {
+    for same_name in [false, true] {
+        let name = |index| format!("i-{index}");
+        let executor = |index| if same_name { named(&name(index)) } else { renamed(&name(index)) };
+        let mut scene = Scene::new((0..3).map(executor).collect());
+        let mut registered: Vec<_> = (0..3).map(executor).collect();
+        scene.submit();
+        for _ in 0..2 {
+            scene.wait(Span::from_millis(100));
+            let latest = scene.latest();
+            let left = registered.iter_mut().find(|executor| executor.id == latest);
+            let left = left.expect("an executor of the test");
+            left.leaving = true;
+            scene.handle(Event::Executors(registered.clone()));
+            match same_name {
+                true => scene.restart(latest, &mut registered),
+                false => scene.executor(latest).process = Process::Replaced,
+            }
+            scene.wait(Span::from_millis(200));
+        }
+        assert_eq!(scene.starts.len(), 3, "same name: {same_name}");
+        assert_eq!(complete(&mut scene), [Answer::Completed], "same name: {same_name}");
+    }
+}
+
 /// The task may be what makes them unresponsive, so that it must not be tried at all of them.
 #[test]
 fn a_task_whose_executors_fall_silent_is_given_up_after_four_and_has_not_failed() {
