A run that was stopped before its executor restarted may have run

Callers would see: 503, not run, for a job one of whose tasks may have run. Cause: a run without a response to its start that had been stopped and was listed neither as running nor as ended counted as not run. The listing may be that of the next incarnation, which knows nothing of earlier ends.

--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -40,7 +40,7 @@
     }
 
     /// Whether a run was sent, and last confirmed, before the current incarnation was known.
-    fn has_restarted_under(&self, live: &TrackedRun) -> bool {
+    pub(super) fn has_restarted_under(&self, live: &TrackedRun) -> bool {
         live.seen.unwrap_or(live.sent) < self.incarnation_since
     }
 
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -200,7 +200,10 @@
         let Some(live) = lease.runs.get(run) else { return };
         match live.state {
             State::Running { since } if since < sent => self.end_missing(now, id, run, out),
-            State::Stopped { since } if since < sent && live.seen.is_some() => {
+            // The end of a run that was stopped may have been lost with its incarnation.
+            State::Stopped { since }
+                if since < sent && (live.seen.is_some() || lease.has_restarted_under(live)) =>
+            {
                 self.end_missing(now, id, run, out);
             }
             State::Stopped { since } if since < sent => {
