Send no task again at once to an executor that can't be reached

Cause: a start that can't be sent ends as not run at once, and the executor stays usable; idle executors whose incarnations have names of their own are never polled, so nothing else told the keeper. The home placed the task there again within 0.2 ms, for as long as connections were refused. Now such an executor gets no start before it has responded to a poll, sent at once, or for 100 ms where a poll is outstanding.

--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -54,7 +54,8 @@
     pub(crate) missed_polls: u32,
     /// Entries that were sent an executor claim and have not answered.
     pub(crate) claim_recipients: Vec<Home>,
-    /// No start before this time: the executor refused one for lack of room.
+    /// No start before this time: the executor refused one for lack of room, or one could not be
+    /// sent.
     pub(crate) full_until: Time,
     /// Whether it starts every task that it is ordered to, so that its capacity has to be enforced
     /// here.
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -14,8 +14,8 @@
 };
 use std::cmp::Reverse;
 
-/// How long an executor that refused a start for lack of room gets no other. About the time until
-/// its next listing, which shows what occupies it.
+/// How long an executor that refused a start for lack of room, or could not be sent one, gets no
+/// other. About the time until its next listing, which shows what occupies it.
 const FULL_PAUSE: Span = Span::from_millis(100);
 
 /// Added to the run number when the executor knows a higher one.
@@ -145,7 +145,7 @@
                 }
                 self.start_refused(now, id, run, why, out);
             }
-            StartResponse::Unsent => self.end_run(now, id, run, End::NotRun, Ending::Unsent, out),
+            StartResponse::Unsent => self.start_unsent(now, id, run, out),
             StartResponse::Unknown => {
                 if let Some(live) = lease.runs.get_mut(run)
                     && live.state == State::Starting
@@ -187,6 +187,20 @@
         self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
     }
 
+    /// The start could not be sent. The executor gets no other before it has responded, or its home
+    /// would send the task there again at once.
+    fn start_unsent(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
+        if let Some(lease) = self.leases.get_mut(&id) {
+            lease.full_until = now + FULL_PAUSE;
+            // An outstanding poll shows whether it responds.
+            if lease.outstanding_poll.is_none() {
+                lease.missed_polls += 1;
+                lease.poll_at = Some(now);
+            }
+        }
+        self.end_run(now, id, run, End::NotRun, Ending::Unsent, out);
+    }
+
     /// Another incarnation rejected the start, so this run never began. What else was on the
     /// executor has ended.
     fn start_rejected(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
