Decision log: limit repeated lines about tasks that were handed back

A task-ended line with end not-run and another run to follow tells of no failure: the task never started. A task can be handed back hundreds of times within a second, and since the log wrote all of these lines, about 690 lines of one job within 130 ms displaced the lines that would have shown why the job was answered as failed.

They now count as routine lines, of which at most 1,000 a second are written. Ends that count as a failure or a loss, and a not-run end that no run follows, are still always written.

On the code before, repeated_ends_of_runs_that_never_started_are_limited fails with '3000 lines about runs that never started'; ends_that_count_or_that_no_run_follows_are_always_written passes before and after.

--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -4,6 +4,7 @@
 use runs::{
     Decision,
     action::{Ending, KeepChange},
+    message::End,
 };
 use serde::Serialize;
 use site::unit::{Span, Time};
@@ -103,10 +104,11 @@
         Decision::Admit { .. } | Decision::Place { .. } | Decision::Start { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
         Decision::RunEnded { how, .. } => *how == Ending::Missing,
+        // A task may be handed back many times before it starts.
+        Decision::TaskEnded { end, again, .. } => *again && *end == End::NotRun,
         Decision::Keep { change, .. } => *change == KeepChange::Look,
         Decision::StartRefused { .. }
         | Decision::StopRun { .. }
-        | Decision::TaskEnded { .. }
         | Decision::Left { .. }
         | Decision::Health { .. }
         | Decision::Members { .. }
