Engine: keep sending orders to unlisted executors that are in use

A caller whose task runs on an executor whose registration expires, together with more than 64 others, would hear 504 although the task ends well, or 'failed' after two such losses of a task, since a lease that expires counts as a lost executor.

Cause: Core::remember forgot all unlisted executors at once when there were more than 64. Polls and stops for a forgotten executor were then not sent, yet reported to the entry as 'silent', that is, as an executor that does not respond. Its lease was not renewed, and its runs ended as lease-over.

Unlisted executors are now kept while they get orders, and for 10 s longer. The keeper polls an executor with runs several times a second, so one without orders for that long has none.

--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -14,16 +14,20 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{EndpointId, Home, WaiterId},
-    unit::Time,
+    unit::{Span, Time},
 };
 use std::sync::{Arc, OnceLock};
 
 // [`runs::Entry`] expects ticks at least this often.
 const _: () = assert!(timer::TICK_INTERVAL.as_micros() <= TICK.0 as u128);
 
-/// Number of executors that are kept beyond the listed ones, since runs may still be there.
+/// Number of unlisted executors above which those that are no longer in use are forgotten.
 const MAX_UNLISTED_EXECUTORS: usize = 64;
 
+/// An executor without an order for this long runs nothing. Those with runs are polled several
+/// times in a second, listed or not.
+const IDLE_TIME: Span = Span::from_secs(10);
+
 /// The parts of an engine.
 pub struct Setup {
     /// The data centre, entry and incarnation of this process.
@@ -54,11 +58,18 @@
     entry: Entry,
     waiters: FxHashMap<WaiterId, Waiter>,
     latest_waiter: u64,
-    executors: FxHashMap<EndpointId, Arc<Executor>>,
+    executors: FxHashMap<EndpointId, Known>,
     /// Reused between events, to avoid allocations.
     actions: Vec<Action>,
 }
 
+/// An executor that is listed, or on which runs may be.
+struct Known {
+    executor: Arc<Executor>,
+    /// When it was last sent an order; zero if never.
+    ordered: Time,
+}
+
 struct Waiter {
     since: Time,
     answer: Sender<Answer>,
@@ -117,7 +128,7 @@
         let mut core = self.core.lock();
         let now = self.clock.now();
         if let Event::Executors(executors) = &event {
-            core.remember(executors);
+            core.remember(now, executors);
         }
         let mut actions = std::mem::take(&mut core.actions);
         core.entry.handle(now, event, &mut actions);
@@ -199,15 +210,15 @@
     fn carry_out(self: &Arc<Self>, core: &mut Core, now: Time, action: Action) {
         match action {
             Action::Start(start) => {
-                let executor = core.executors.get(&start.executor).cloned();
+                let executor = core.executor(now, start.executor);
                 self.spawn(self.clone().start(executor, start));
             }
             Action::Stop { executor: id, run, token } => {
-                let executor = core.executors.get(&id).cloned();
+                let executor = core.executor(now, id);
                 self.spawn(self.clone().stop(executor, id, run, token));
             }
             Action::Poll(poll) => {
-                let executor = core.executors.get(&poll.executor).cloned();
+                let executor = core.executor(now, poll.executor);
                 self.spawn(self.clone().poll(executor, poll));
             }
             Action::Answer { waiter, answer } => {
@@ -281,15 +292,25 @@
 }
 
 impl Core {
-    fn remember(&mut self, executors: &[Executor]) {
+    /// Returns an executor that gets an order now.
+    fn executor(&mut self, now: Time, id: EndpointId) -> Option<Arc<Executor>> {
+        let known = self.executors.get_mut(&id)?;
+        known.ordered = now;
+        Some(known.executor.clone())
+    }
+
+    fn remember(&mut self, now: Time, executors: &[Executor]) {
         if self.executors.len() > executors.len() + MAX_UNLISTED_EXECUTORS {
             let listed: FxHashSet<EndpointId> =
                 executors.iter().map(|executor| executor.id).collect();
-            self.executors.retain(|id, _| listed.contains(id));
+            let in_use = |known: &Known| now.since(known.ordered) < IDLE_TIME;
+            self.executors.retain(|id, known| listed.contains(id) || in_use(known));
+        }
+        for executor in executors {
+            let ordered = self.executors.get(&executor.id).map_or(Time(0), |known| known.ordered);
+            let known = Known { executor: Arc::new(executor.clone()), ordered };
+            self.executors.insert(executor.id, known);
         }
-        let listed_executors =
-            executors.iter().map(|executor| (executor.id, Arc::new(executor.clone())));
-        self.executors.extend(listed_executors);
     }
 }
 
