Engine: no untrue answer for a job whose answer is lost

A caller whose waiter was dropped without an answer would hear 'failed'. No task need have failed; nothing is known of the job. It now hears 504, after which it may submit the job again.

No test fails before this change, since this end can't be reached through the engine's interface: a waiter leaves the table only with its answer or together with its caller, and the sender lives as long as the engine, to which the caller holds a reference. Only the claim changes, for the case that this ceases to hold.

--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -119,8 +119,9 @@
         self.feed(Event::Submit { waiter, job });
         let answer = answer.recv().await;
         drop(caller_guard);
-        // The sender is dropped without an answer only when the process ends.
-        answer.unwrap_or(Answer::Failed)
+        // The sender is dropped without an answer only when the process ends, and then nothing is
+        // known of the tasks.
+        answer.unwrap_or(Answer::GivenUp)
     }
 
     /// Handles an event and carries out the actions that follow from it.
