Dispatch: an attempt that did not run no longer fails a started job

Callers of a job of which some tasks had run or were running were answered 503 no-endpoint, may-have-run, though no task had failed and the deadline was far off. The limit of 32 attempts a task counts attempts that did not run (refused, or nothing written), and at the limit the whole job was given up. While other entries use the same slots, or while executors restart, a task has 32 such attempts within fractions of a second.

At the limit only a job of which nothing has run is ended; that answer is "not run" with a time to come back. Any other job waits for an endpoint until its deadline.

--- a/components/dispatch/src/pool/attempt.rs
+++ b/components/dispatch/src/pool/attempt.rs
@@ -166,13 +166,16 @@
         }
     }
 
+    /// Returns whether another attempt follows. An attempt that did not run ends a job only if
+    /// nothing of the job has run: such a job can be submitted again, any other would be lost.
     fn may_retry(&mut self, now: Time, verdict: Verdict, item: &QueuedTask) -> bool {
-        if item.attempts >= retry::MAX_ATTEMPTS || now >= item.job.deadline {
+        if now >= item.job.deadline {
             return false;
         }
+        let has_attempts_left = item.attempts < retry::MAX_ATTEMPTS;
         match verdict {
-            Verdict::RetryRepeatable => self.budget.spend(item.job.submission.firm),
-            _ => true,
+            Verdict::RetryNotRun => has_attempts_left || item.job.is_started(),
+            _ => has_attempts_left && self.budget.spend(item.job.submission.firm),
         }
     }
 
--- a/components/dispatch/src/pool/schedule.rs
+++ b/components/dispatch/src/pool/schedule.rs
@@ -123,7 +123,7 @@
         declared: Resources,
         out: &mut Vec<Action>,
     ) {
-        item.attempts += 1;
+        item.attempts = item.attempts.saturating_add(1);
         self.average_needs.observe(&needs);
         if item.attempts == 1 {
             self.budget.earn(key.firm);
--- a/components/dispatch/src/retry.rs
+++ b/components/dispatch/src/retry.rs
@@ -52,7 +52,8 @@
     }
 }
 
-/// Maximum number of attempts of one task, including refused ones.
+/// Maximum number of attempts of one task, including refused ones. Does not apply to attempts that
+/// did not run while other attempts of the job may have run.
 pub(crate) const MAX_ATTEMPTS: u8 = 32;
 
 /// Budget that a first attempt earns, in thousandths of a retry.
--- a/components/dispatch/tests/refused.rs
+++ b/components/dispatch/tests/refused.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Mode, Shape, Simulation, Work, id};
+use dispatch::Decision;
 use site::{id::WaiterId, submission::Answer, unit::Span};
 
 /// Time that the attempts of these tests have.
@@ -50,3 +51,26 @@
     sim.run(DEADLINE);
     assert_complete(&sim, waiter);
 }
+
+/// Returns the number of attempts within 9 s of a job that has started on one executor while the
+/// others behave like `mode`.
+fn attempts_of_a_started_job(mode: Mode) -> usize {
+    let shape = Shape { executors: 24, slots: 8, ..Shape::default() };
+    let mut sim = Simulation::new(shape, 1, 1);
+    sim.executors.values_mut().for_each(|executor| executor.run_time = Span::from_secs(10));
+    sim.executors.values_mut().skip(1).for_each(|executor| executor.mode = mode);
+    let before = sim.log.len();
+    let waiter = submit(&mut sim, 0, &Work::job("a", 20).within(DEADLINE));
+    sim.run(Span::from_secs(9));
+    assert!(sim.checker.answer_of(waiter).is_none());
+    let placed = |(_, _, decision): &&(_, _, Decision)| matches!(decision, Decision::Place { .. });
+    sim.log[before..].iter().filter(placed).count()
+}
+
+#[test]
+fn executors_that_do_not_run_a_started_job_are_tried_rarely() {
+    for mode in [Mode::Down, Mode::Refuse] {
+        let attempts = attempts_of_a_started_job(mode);
+        assert!(attempts <= 24 * 9 * 2, "{mode:?}: {attempts} attempts");
+    }
+}
