Endpoint: believe an executor that says an attempt never runs

Callers of a job, and of a single request that is not repeatable, were answered 502 endpoint, may-have-run, for an attempt of which its executor had said that it had not started and never will: its connection had gone silent, and every state but "running" was taken for a lost answer.

Such an attempt now counts as refused, so its task goes elsewhere. As before, the connection must stay silent for another interval first.

--- a/components/endpoint/src/classify.rs
+++ b/components/endpoint/src/classify.rs
@@ -143,6 +143,6 @@
 pub(crate) enum Verdict {
     /// The endpoint is alive, but this connection is dead.
     DeadConnection,
-    /// The worker reports that the attempt did not start and never will.
+    /// The endpoint reports that the attempt did not start and never will.
     NeverRuns,
 }
--- a/components/endpoint/src/http/watch.rs
+++ b/components/endpoint/src/http/watch.rs
@@ -4,8 +4,9 @@
 //! the state of the attempt is requested from the endpoint over another connection. As long as the
 //! attempt runs, the request waits. If the attempt has ended or never arrived, its response or its
 //! request counts as lost once the connection has stayed idle for the same time again, within which
-//! data still in flight would have arrived. A failed state request proves nothing: an endpoint that
-//! shuts down accepts no connection but still finishes its running tasks.
+//! data still in flight would have arrived. If the endpoint reports that the attempt never runs, it
+//! counts as refused. A failed state request proves nothing: an endpoint that shuts down accepts no
+//! connection but still finishes its running tasks.
 
 use crate::{
     Call, Stop,
@@ -54,8 +55,11 @@
             ProbeResult::State(State::Running) | ProbeResult::NoResponse => {
                 wait = wait.saturating_mul(BACKOFF_FACTOR)
             }
-            ProbeResult::State(_) if is_still_idle(meter, silence).await => {
-                return Verdict::DeadConnection;
+            ProbeResult::State(state) if is_still_idle(meter, silence).await => {
+                return match state {
+                    State::Never => Verdict::NeverRuns,
+                    State::Running | State::Ended | State::Unknown => Verdict::DeadConnection,
+                };
             }
             ProbeResult::Alive if meter.silence() >= duration(inner.options.give_up) => {
                 return Verdict::DeadConnection;
