Test: a successor must not deny a request that is in transit to it

Both tests fail on the current code: the entry that holds the table of a stopped home answers a fetch or a cancellation with NotRun, HomeGone, and then runs the repeatable request that was already on its way to it.

--- a/components/dispatch/tests/moved.rs
+++ b/components/dispatch/tests/moved.rs
@@ -6,6 +6,7 @@
 use common::{Shape, Simulation, Work, id};
 use dispatch::Event;
 use site::{
+    id::{Home, SubmissionId, WaiterId},
     submission::{Answer, Failure, Outcome},
     unit::Span,
 };
@@ -54,3 +55,33 @@
         assert!(!ran || !denied(sim.checker.answer_of(waiter)));
     }
 }
+
+/// Submits a repeatable request of an entry that has stopped through one entry while `ask` asks
+/// another one about it, and checks that what runs was not reported as not run.
+fn check_asked_while_submitted(ask: fn(&mut Simulation, Home, &Work, SubmissionId) -> WaiterId) {
+    for (submitting, asking) in [(1, 2), (2, 1)] {
+        let mut sim = sim();
+        let stopped = sim.at(0).unwrap();
+        let id = id(sim.entry(0).own_token(), 1);
+        sim.tell(stopped, Event::Drain);
+        sim.run(Span::from_millis(100));
+        assert!(sim.checker.exited.contains(&stopped));
+        let work = Work::single("a", true);
+        let (submitting, asking) = (sim.at(submitting).unwrap(), sim.at(asking).unwrap());
+        sim.submit(submitting, &work, id);
+        let waiter = ask(&mut sim, asking, &work, id);
+        sim.run(Span::from_secs(6));
+        let ran = !sim.starts.is_empty();
+        assert!(!ran || !denied(sim.checker.answer_of(waiter)));
+    }
+}
+
+#[test]
+fn a_fetch_at_a_successor_does_not_report_not_run_for_a_request_in_transit() {
+    check_asked_while_submitted(|sim, via, work, id| sim.fetch(via, work, id, 0));
+}
+
+#[test]
+fn a_cancellation_at_a_successor_does_not_report_not_run_for_a_request_in_transit() {
+    check_asked_while_submitted(|sim, via, work, id| sim.cancel(via, work, id));
+}
