Dispatch: a successor no longer denies a request that is in transit

Callers that fetched or cancelled a submission of a home that had stopped as planned were answered 410 home-gone, not-run, when the id was not in the home's table; a repeatable single request that was on its way to the successor, sent through another entry, then ran there all the same. The answer was given without regard to the kind of the submission, which only a submission itself tells.

A fetch or cancellation of an unknown id at a successor is now answered may-have-run, as the home itself answers a fetch of an unknown id. Submissions are answered as before: a job that is not in the table is not-run, since no other entry runs it.

--- a/components/dispatch/src/entry/route.rs
+++ b/components/dispatch/src/entry/route.rs
@@ -10,7 +10,7 @@
 use ledger::{Lookup, Waiter};
 use site::{
     id::{EndpointId, Home, SubmissionId, WaiterId},
-    submission::{Answer, Failure, Reason, Submission},
+    submission::{Answer, Failure, Outcome, Reason, Submission},
     unit::{Span, Time},
 };
 use std::sync::Arc;
@@ -77,8 +77,10 @@
         let found = self.shard(id).lock().lookup(id, call.firm(), None);
         match found {
             Lookup::Finished(answer) => self.answer(now, waiter, id, answer, out),
+            // It may be a repeatable request, which may be in transit or run at another entry.
             Lookup::Unknown | Lookup::Open(_) => {
-                self.decline(now, waiter, call, self.never_admitted(id), out);
+                let failure = Failure { outcome: Outcome::MayHaveRun, ..self.never_admitted(id) };
+                self.decline(now, waiter, call, failure, out);
             }
         }
     }
