Test: a resubmission must not be denied after its service became repeatable

Fails on the current code: the resubmission of a request that has run is answered with NotRun, Conflict, which the checker of all answers refutes.

--- a/components/dispatch/tests/submission.rs
+++ b/components/dispatch/tests/submission.rs
@@ -38,3 +38,20 @@
     }
     assert_eq!(sim.starts.len(), 4);
 }
+
+/// The settings decide whether a request may be repeated, and may change between two submissions.
+#[test]
+fn a_resubmission_is_not_denied_after_its_service_became_repeatable() {
+    for (before, after) in [(false, true), (true, false)] {
+        let mut sim = sim();
+        let id = id(sim.entry(0).own_token(), 1);
+        let via = sim.at(1).unwrap();
+        sim.submit(via, &Work::single("a", before), id);
+        sim.run(Span::from_secs(1));
+        let waiter = sim.submit(via, &Work::single("a", after), id);
+        sim.run(Span::from_secs(1));
+        let answer = sim.checker.answer_of(waiter);
+        assert!(matches!(answer, Some(Answer::Complete(_))), "{answer:?}");
+        assert_eq!(sim.starts.len(), 1);
+    }
+}
