Ledger: a resubmission whose service became repeatable is no conflict

Callers that sent a request again under its id were answered 409 conflict, not-run, though it had run: the digest that tells content apart covered whether the request may be repeated. That also depends on the service's settings, so it changes with them, and differs between entries while new settings spread.

The digest leaves the flag out; the first submission's flag counts, as before. Entries of two versions at one time are not supported, so no digest of the old form arrives.

--- a/components/ledger/src/record.rs
+++ b/components/ledger/src/record.rs
@@ -108,14 +108,14 @@
     }
 }
 
-/// Returns a digest of what a submission requests. The deadline is left out, since a
-/// resubmission has less time left.
+/// Returns a digest of what a submission requests. Two members are left out, since a resubmission
+/// may differ in them: the deadline, of which less is left, and whether it is repeatable, which
+/// also depends on the settings in force.
 pub fn content_digest(submission: &Submission) -> u64 {
     let mut hasher = rustc_hash::FxHasher::default();
     submission.firm.hash(&mut hasher);
     submission.crew.hash(&mut hasher);
     submission.service.hash(&mut hasher);
-    submission.repeatable.hash(&mut hasher);
     for task in &submission.tasks {
         task.body.hash(&mut hasher);
         task.content_type.hash(&mut hasher);
