Endpoint: an attempt that was seen running is never reported as not run

A task that was not repeatable could run twice, and a caller could hear not-run of work that had run. Once a connection was silent, a worker that did not know the attempt was taken at its word, though an earlier renewal of the lease had found it running: it was the next process at the worker's address that answered.

What was known of the run now goes before what the endpoint says later: after "running", "never" means a lost answer. Callers of a job then hear may-have-run.

--- a/components/endpoint/src/http/watch.rs
+++ b/components/endpoint/src/http/watch.rs
@@ -5,8 +5,8 @@
 //! attempt runs, the request waits. If the attempt has ended or never arrived, its response or its
 //! request counts as lost once the connection has stayed idle for the same time again, within which
 //! data still in flight would have arrived. If the endpoint reports that the attempt never runs, it
-//! counts as refused. A failed state request proves nothing: an endpoint that shuts down accepts no
-//! connection but still finishes its running tasks.
+//! counts as refused, unless it was running before. A failed state request proves nothing: an
+//! endpoint that shuts down accepts no connection but still finishes its running tasks.
 
 use crate::{
     Call, Stop,
@@ -49,15 +49,18 @@
 async fn executor(inner: &Inner, host: &Host, call: &Call, meter: &Meter) -> Verdict {
     let silence = duration(inner.options.silence);
     let mut wait = silence;
+    let mut has_run = false;
     loop {
         wait_until_idle(meter, wait).await;
-        match probe(inner, host, call).await {
+        let probed = probe(inner, host, call).await;
+        has_run |= matches!(probed, ProbeResult::State(State::Running));
+        match probed {
             ProbeResult::State(State::Running) | ProbeResult::NoResponse => {
                 wait = wait.saturating_mul(BACKOFF_FACTOR)
             }
             ProbeResult::State(state) if is_still_idle(meter, silence).await => {
                 return match state {
-                    State::Never => Verdict::NeverRuns,
+                    State::Never => never(has_run),
                     State::Running | State::Ended | State::Unknown => Verdict::DeadConnection,
                 };
             }
@@ -86,24 +89,37 @@
     let silence = duration(inner.options.silence);
     let interval = duration(inner.options.lease) / RENEWALS_PER_LEASE;
     let token = inner.token(call.attempt);
+    let mut has_run = false;
     loop {
         Timer::after(interval).await;
         if !meter.sent() {
             continue;
         }
         let state = match inner.renew(host, token).await {
-            Some(State::Running) | None => continue,
+            Some(State::Running) => {
+                has_run = true;
+                continue;
+            }
+            None => continue,
             Some(state) => state,
         };
         if !is_still_idle(meter, silence).await {
             continue;
         }
-        if let Some(verdict) = settle(inner, host, token, state).await {
-            return verdict;
+        match settle(inner, host, token, state).await {
+            Some(Verdict::NeverRuns) => return never(has_run),
+            Some(Verdict::DeadConnection) => return Verdict::DeadConnection,
+            None => {}
         }
     }
 }
 
+/// Returns the verdict for an attempt that never runs according to its endpoint. If it was running
+/// before, the process that answers is another one and can't know what ran.
+fn never(has_run: bool) -> Verdict {
+    if has_run { Verdict::DeadConnection } else { Verdict::NeverRuns }
+}
+
 /// Returns the verdict for an attempt that does not run on its worker; `None` if it is not known.
 async fn settle(inner: &Inner, host: &Host, token: Token, state: State) -> Option<Verdict> {
     match state {
