Test: a fetch without a response must not report not run

Fails on the current code: the error of a fetch whose connection was lost, and of a cancellation that no entry took, has the outcome NotRun.

--- a/components/client/tests/jobs.rs
+++ b/components/client/tests/jobs.rs
@@ -94,3 +94,13 @@
     assert_eq!(block_on(client.status(id())).unwrap_err(), Error::Malformed { status: 200 });
     assert_eq!(block_on(client.show("jobs")).unwrap_err(), Error::Malformed { status: 404 });
 }
+
+/// A fetch that no entry answers says nothing about the job.
+#[test]
+fn a_fetch_without_a_response_does_not_report_not_run() {
+    let (_entry, client) = with(vec![Reaction::Close]);
+    let lost = block_on(client.fetch(id(), Span::from_millis(1))).unwrap_err();
+    let nobody = Client::new([FakeEntry::absent()], "key").unwrap();
+    let not_sent = block_on(nobody.cancel(id())).unwrap_err();
+    assert_eq!((lost.outcome(), not_sent.outcome()), (None, None));
+}
