Client: a query that no entry answers no longer reports not run

The outcome of the error was NotRun, and the command line printed it, for a fetch, a status request or a cancellation of a job that may have run: no entry had answered the query, which says nothing about the job.

The outcome of this error is now unknown, as the type already allows. Submissions are not concerned: without an answer they end with the error of the deadline, which tells whether an entry may have received them.

--- a/components/client/src/error.rs
+++ b/components/client/src/error.rs
@@ -66,8 +66,9 @@
         match self {
             Error::Problem(problem) => Some(problem.outcome),
             Error::Deadline { outcome, .. } => Some(*outcome),
-            Error::NoEntries | Error::Unreachable => Some(Outcome::NotRun),
-            Error::Malformed { .. } => None,
+            Error::NoEntries => Some(Outcome::NotRun),
+            // Only queries end with these, and the submission that they ask about may have run.
+            Error::Unreachable | Error::Malformed { .. } => None,
         }
     }
 }
