Test: a content type that can't be sent must be turned away

Fails on the current code: the job is submitted. Such a call gives NotSent(Invalid) with the stand-in executor (trial, not kept as a test), and health counts NotSent as an endpoint that can't be reached.

--- a/components/server/tests/rejections.rs
+++ b/components/server/tests/rejections.rs
@@ -124,6 +124,19 @@
     assert_nothing_submitted(&server);
 }
 
+/// Such a type can't be sent to any endpoint, and each that was tried would look unreachable.
+#[test]
+fn a_content_type_that_is_no_header_value_is_rejected() {
+    let server = TestServer::new();
+    for content_type in ["text/plain\r\nX: 1", "text/plain\n", "text/\0plain"] {
+        let task = json!({ "body": "x", "content_type": content_type });
+        let job = json!({ "service": "check", "tasks": [{ "body": 1 }, task] }).to_string();
+        let response = server.send(JOBS, &[], job.as_bytes());
+        assert_eq!(response.problem(), (400, "malformed-job".into(), "not-run".into()));
+    }
+    assert_nothing_submitted(&server);
+}
+
 #[test]
 fn truncated_body() {
     let server = TestServer::new();
