Server: turn away a job with a content type that can't be sent

A task whose content type held a line break or a zero byte could be sent to no endpoint. Each attempt ended as "not sent", which says that the endpoint could not be reached: health counted it against each executor tried, and the job ended as no-endpoint, may-have-run if another of its tasks had started.

Such a job is now turned away with 400 malformed-job before anything is submitted. A single request can't have such a type, since it comes from a header.

--- a/components/server/src/job.rs
+++ b/components/server/src/job.rs
@@ -86,12 +86,21 @@
 
 fn task(index: usize, item: TaskInput<'_>, limit: Memory) -> Result<Task, Rejection> {
     let (body, content_type) = body(index, &item)?;
+    if !is_header_value(&content_type) {
+        let detail = format!("the content type of task {index} is no header value");
+        return Err(Rejection::MalformedJob { detail });
+    }
     if body.len() as u64 > limit.0 {
         return Err(Rejection::LargeTask { index, limit });
     }
     Ok(Task { body, content_type, needs: item.needs, run_time: item.run_time })
 }
 
+/// Returns whether a text can be sent as the value of a header.
+fn is_header_value(text: &str) -> bool {
+    !text.bytes().any(|byte| matches!(byte, b'\r' | b'\n' | b'\0'))
+}
+
 fn body(index: usize, item: &TaskInput<'_>) -> Result<(Bytes, CompactString), Rejection> {
     let given = item.content_type.as_deref();
     let raw = item.body.get();
