Test: a resumed home must not deny on cancellation what its replacement ran

Fails on the current code: a home that was paused and taken for gone answers the cancellation of an id that it does not know with NotRun, Cancelled, although the repeatable request ran at another entry; the checker of all answers refutes it.

--- a/components/dispatch/tests/moved.rs
+++ b/components/dispatch/tests/moved.rs
@@ -85,3 +85,25 @@
 fn a_cancellation_at_a_successor_does_not_report_not_run_for_a_request_in_transit() {
     check_asked_while_submitted(|sim, via, work, id| sim.cancel(via, work, id));
 }
+
+/// The platform lists the VM of the paused home as removed, so the request runs elsewhere.
+#[test]
+fn a_cancellation_at_a_resumed_home_does_not_report_not_run_for_what_its_replacement_ran() {
+    let mut sim = sim();
+    let home = sim.at(0).unwrap();
+    let id = id(sim.entry(0).own_token(), 1);
+    sim.pause(home);
+    sim.run(Span::from_secs(4));
+    sim.platform.gone.push(home.entry);
+    sim.publish();
+    let work = Work::single("a", true);
+    let via = sim.at(1).unwrap();
+    sim.submit(via, &work, id);
+    sim.run(Span::from_secs(1));
+    assert_eq!(sim.starts.len(), 1);
+    sim.resume(home);
+    sim.run(Span::from_millis(10));
+    let waiter = sim.cancel(home, &work, id);
+    sim.run(Span::from_secs(6));
+    assert!(!denied(sim.checker.answer_of(waiter)));
+}
