Dispatch: a home that was away does not deny what it is asked to cancel

Callers that cancelled a submission were answered not-run by its home, which did not know the id, though the request was repeatable and had run at another entry while the home was paused and taken for gone. Refusals are weakened to may-have-run in this case; the cancellation of an unknown id was not.

Evidence: the new test in tests/moved.rs.

A home that was paused lately, or is draining, now answers such a cancellation with may-have-run, and keeps that as the id's answer; nothing of it runs there afterwards. The draining case follows the rule for refusals and has no test of its own.

--- a/components/dispatch/src/entry/submit.rs
+++ b/components/dispatch/src/entry/submit.rs
@@ -228,7 +228,11 @@
         if self.is_expired(id) {
             return self.reject(now, waiter, id, firm, ledger::table::expired_failure(), out);
         }
-        let failure = not_run(Reason::Cancelled, None);
+        // It may be a repeatable request, which others may have run while this entry was absent.
+        let failure = match self.was_paused() || self.is_draining() {
+            true => may_have_run(Reason::Cancelled, None),
+            false => not_run(Reason::Cancelled, None),
+        };
         let arrived = {
             let mut shard = self.shard(id).lock();
             // Another firm's submission must look as if it did not exist.
