Soak: check that an answer of failed has a cause

Callers were answered that jobs had failed, of which no task had. The soak counted such answers and judged none of them.

The stand-in executors count, for each task, runs that ended as failed and crashes under a run. A failed answer needs one task with as many failed ends as the queue allows, or one under which two executors have crashed. Runs of all submissions of a job count, so that the check errs towards the entries. Only runs of the stand-ins decide, so the check has no time bound.

--sabotage failure answers failed where nothing has run.

--- a/components/standin/src/leased/mod.rs
+++ b/components/standin/src/leased/mod.rs
@@ -3,8 +3,10 @@
 //! A task's specification gives its run time in milliseconds, the cores that it needs in thousandths
 //! and whether it fails: `{"ms": 60, "cpu": 27000, "fail": false}`.
 
+mod monitor;
 mod serve;
 mod state;
 
-pub use serve::{Executor, RunMonitor, StartedRun};
+pub use monitor::{RunMonitor, StartedRun};
+pub use serve::Executor;
 pub use state::{ExecutorState, Running};
--- a/components/standin/src/leased/serve.rs
+++ b/components/standin/src/leased/serve.rs
@@ -1,6 +1,6 @@
-//! The executor's HTTP API, and the check that no task runs on two executors at the same time.
+//! The executor's HTTP API.
 
-use super::ExecutorState;
+use super::{ExecutorState, RunMonitor};
 use crate::serve::Loopback;
 use event_listener::Event;
 use parking_lot::Mutex;
@@ -17,7 +17,6 @@
 };
 use smol::{Timer, future::FutureExt};
 use std::{
-    collections::BTreeMap,
     io,
     net::SocketAddr,
     sync::Arc,
@@ -28,34 +27,6 @@
 /// Interval at which a waiting poll checks for ended runs.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
-/// Records the runs of all executors that share it, and tasks that run on two of them at the same
-/// time.
-#[derive(Debug, Default)]
-pub struct RunMonitor {
-    state: Mutex<MonitorState>,
-}
-
-/// A run that an executor has started.
-#[derive(Clone, Debug)]
-pub struct StartedRun {
-    /// Time of the start, since the common time origin of the test.
-    pub at: Time,
-    /// Name of the executor.
-    pub executor: String,
-    /// The run that was started.
-    pub run: Run,
-}
-
-#[derive(Debug, Default)]
-struct MonitorState {
-    starts: BTreeMap<String, u64>,
-    /// All runs that were started, in order.
-    started_runs: Vec<StartedRun>,
-    /// Pairs of runs of one task that were in progress on two executors at the same time.
-    concurrent_runs: Vec<String>,
-    executors: Vec<Arc<Mutex<ExecutorState>>>,
-}
-
 /// A running stand-in. Stops when it is dropped.
 #[derive(Debug)]
 pub struct Executor {
@@ -128,50 +99,6 @@
     sequence: u64,
 }
 
-impl RunMonitor {
-    /// Returns the pairs of runs of one task that were in progress on two executors at the same time.
-    pub fn concurrent_runs(&self) -> Vec<String> {
-        self.state.lock().concurrent_runs.clone()
-    }
-
-    /// Returns how many runs were started for jobs whose id starts with `job`.
-    pub fn starts(&self, job: &str) -> u64 {
-        let state = self.state.lock();
-        state.starts.iter().filter(|(name, _)| name.starts_with(job)).map(|(_, n)| n).sum()
-    }
-
-    /// Returns all runs that were started, in order.
-    pub fn started_runs(&self) -> Vec<StartedRun> {
-        self.state.lock().started_runs.clone()
-    }
-
-    /// Whether a task has completed on any executor.
-    pub fn is_done(&self, job: &str, index: u16) -> bool {
-        let executors = self.state.lock().executors.clone();
-        executors.iter().any(|state| state.lock().done.contains(&(job.to_owned(), index)))
-    }
-
-    fn record_start(&self, now: Time, executor: &str, own: &Arc<Mutex<ExecutorState>>, run: &Run) {
-        let mut state = self.state.lock();
-        let executor = executor.to_owned();
-        state.started_runs.push(StartedRun { at: now, executor, run: run.clone() });
-        *state.starts.entry(format!("{}.{}", run.job, run.index)).or_default() += 1;
-        let others: Vec<_> =
-            state.executors.iter().filter(|state| !Arc::ptr_eq(state, own)).cloned().collect();
-        for other in others {
-            let mut other = other.lock();
-            other.end_due_runs(now);
-            let is_same_task =
-                |other_run: &&Run| other_run.job == run.job && other_run.index == run.index;
-            if let Some(other_run) = other.running.keys().find(is_same_task)
-                && other.up
-            {
-                state.concurrent_runs.push(format!("{run} beside {other_run}"));
-            }
-        }
-    }
-}
-
 impl Executor {
     /// Starts an executor on a loopback address. `epoch` is the common time origin of the test.
     ///
@@ -186,7 +113,7 @@
             ..Resources::default()
         };
         let state = Arc::new(Mutex::new(ExecutorState::new(capacity, 10, 5_000)));
-        monitor.state.lock().executors.push(state.clone());
+        monitor.add(&state);
         let shared = Arc::new(Shared {
             name: name.to_owned(),
             epoch,
@@ -239,6 +166,11 @@
         change(&mut self.shared.state.lock(), self.shared.now());
     }
 
+    /// Crashes the executor: its runs are gone without an end, and it carries out no more orders.
+    pub fn crash(&self) {
+        self.shared.state.lock().crash(self.shared.now());
+    }
+
     /// Returns the runs in progress.
     pub fn running(&self) -> Vec<Run> {
         let mut state = self.shared.state.lock();
@@ -266,6 +198,9 @@
         let now = self.now();
         let (response, is_new) = {
             let mut state = self.state.lock();
+            if !state.up {
+                return crashed();
+            }
             let was_running = state.running.contains_key(&run);
             let response = state.start(now, &start, needs, spec.ms * 1_000);
             if let Some(running) = state.running.get_mut(&run)
@@ -361,6 +296,9 @@
             },
             _ => (404, json!({})),
         };
+        // The executor may have crashed since the order arrived.
+        let (status, response) =
+            if shared.state.lock().up { (status, response) } else { crashed() };
         conn.with_status(status).with_body(response.to_string()).halt()
     }
 }
@@ -369,6 +307,10 @@
     serde_json::from_str(body).ok()
 }
 
+fn crashed() -> (u16, Value) {
+    (503, json!({}))
+}
+
 fn malformed() -> (u16, Value) {
     (400, json!({ "clock_ms": 0, "reason": "malformed" }))
 }
--- a/components/standin/src/leased/state.rs
+++ b/components/standin/src/leased/state.rs
@@ -7,7 +7,10 @@
     job::Run,
 };
 use site::unit::{Resources, Time};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
 
 /// Maximum lease duration, in milliseconds of the executor's clock.
 const MAX_LEASE_MS: u64 = 1_000;
@@ -50,6 +53,10 @@
     past_runs: BTreeMap<(String, u16), u32>,
     /// Tasks that completed, by job and index.
     pub done: BTreeSet<(String, u16)>,
+    /// How many runs of each task ended as failed, by job and index.
+    pub failed: BTreeMap<(String, u16), usize>,
+    /// Tasks that had a run in progress when the executor crashed, by job and index.
+    pub crashed: BTreeSet<(String, u16)>,
     /// Until this time the executor accepts connections, but neither carries out orders nor responds.
     pub unresponsive_until: Time,
     /// Distinguishes incarnations that share a name. `None` if each has a name of its own.
@@ -77,6 +84,8 @@
             deadline: 0,
             past_runs: BTreeMap::new(),
             done: BTreeSet::new(),
+            failed: BTreeMap::new(),
+            crashed: BTreeSet::new(),
             unresponsive_until: Time(0),
             incarnation: None,
             up: true,
@@ -112,13 +121,24 @@
     fn end(&mut self, run: Run, result: RunResult) {
         self.running.remove(&run);
         self.record_past_run(&run);
-        if result == RunResult::Done {
-            self.done.insert((run.job.to_string(), run.index));
+        let task = (run.job.to_string(), run.index);
+        match result {
+            RunResult::Done => drop(self.done.insert(task)),
+            RunResult::Failed => *self.failed.entry(task).or_default() += 1,
+            RunResult::Stopped | RunResult::Lapsed => {}
         }
         self.ended.push(Ended { number: self.next_number, run: Some(run), result });
         self.next_number += 1;
     }
 
+    /// Crashes the executor: its runs are gone without an end.
+    pub fn crash(&mut self, now: Time) {
+        self.end_due_runs(now);
+        self.up = false;
+        let runs = mem::take(&mut self.running).into_keys();
+        self.crashed.extend(runs.map(|run| (run.job.to_string(), run.index)));
+    }
+
     fn record_past_run(&mut self, run: &Run) {
         let highest_run = self.past_runs.entry((run.job.to_string(), run.index)).or_default();
         *highest_run = (*highest_run).max(run.number);
--- a/soak/src/check/jobs.rs
+++ b/soak/src/check/jobs.rs
@@ -1,7 +1,10 @@
 //! Checks that the answers to jobs are complete, true and in time.
 
 use super::{CONTACT_TIMEOUT, Evidence, Violation};
-use crate::history::{self, Attempt, Job, Outcome, Stop};
+use crate::{
+    document::MAX_ATTEMPTS,
+    history::{self, Attempt, Job, Outcome, Stop},
+};
 use std::time::{Duration, Instant};
 
 /// Requests sent later than this after a planned stop began may be cut off: callers had time to
@@ -11,6 +14,9 @@
 /// A planned stop may cut off requests that are still open this long after it began.
 const STOP_GRACE_PERIOD: Duration = Duration::from_secs(5);
 
+/// A job fails when this many executors have crashed under one of its tasks.
+const MAX_CRASHES: usize = 2;
+
 /// After recovery from the faults, at least one job in this many must be completed.
 const RECOVERY_ONE_IN: usize = 4;
 
@@ -21,7 +27,11 @@
     let jobs = evidence.record.jobs.iter();
     let mut violations: Vec<Violation> = jobs
         .flat_map(|(name, job)| {
-            let one = [refusal(evidence, name, job), completion(evidence, name, job)];
+            let one = [
+                refusal(evidence, name, job),
+                completion(evidence, name, job),
+                failure(evidence, name, job),
+            ];
             let attempts = job.attempts.iter().enumerate();
             let attempts = attempts.map(|(index, at)| attempt(evidence, name, index, at));
             one.into_iter().chain(attempts).flatten().collect::<Vec<_>>()
@@ -50,6 +60,20 @@
     Some(Violation::FalseCompletion { job: name.to_owned(), task })
 }
 
+/// Checks that a task of a job that was answered as failed has failed too often, or that executors
+/// have crashed under it. Runs of all attempts to submit the job count.
+fn failure(evidence: &Evidence<'_>, name: &str, job: &Job) -> Option<Violation> {
+    let failed = |attempt: &Attempt| matches!(attempt.end, Some((_, Outcome::Failed)));
+    if !job.attempts.iter().any(failed) {
+        return None;
+    }
+    let monitor = evidence.monitor;
+    let failures = (0..job.tasks).map(|index| monitor.failed_ends(name, index)).max()?;
+    let crashes = (0..job.tasks).map(|index| monitor.crashes(name, index)).max()?;
+    let has_cause = failures >= MAX_ATTEMPTS || crashes >= MAX_CRASHES;
+    (!has_cause).then(|| Violation::FalseFailure { job: name.to_owned(), failures, crashes })
+}
+
 fn attempt(
     evidence: &Evidence<'_>,
     name: &str,
--- a/soak/src/check/violation.rs
+++ b/soak/src/check/violation.rs
@@ -28,6 +28,18 @@
         /// Index of the first such task.
         task: u16,
     },
+    /// A job was answered as failed without a cause.
+    #[display(
+        "job {job} was answered as failed, and no task failed more than {failures} times or was lost in more than {crashes} crashes"
+    )]
+    FalseFailure {
+        /// Name of the job.
+        job: String,
+        /// Most runs of one task that failed.
+        failures: usize,
+        /// Most executors that crashed under one task.
+        crashes: usize,
+    },
     /// An answer has a status that callers don't expect.
     #[display("job {job} was answered with status {status}")]
     UnexpectedStatus {
@@ -118,6 +130,7 @@
             Violation::Twice { .. }
             | Violation::FalseRefusal { .. }
             | Violation::FalseCompletion { .. }
+            | Violation::FalseFailure { .. }
             | Violation::UnexpectedStatus { .. }
             | Violation::ConfigurationRollback { .. }
             | Violation::LeftOver { .. } => false,
--- a/soak/src/document.rs
+++ b/soak/src/document.rs
@@ -14,6 +14,9 @@
 /// How long callers wait for the answer to a job, in milliseconds.
 pub const CALLER_TIMEOUT_MS: u64 = 3_000;
 
+/// A job fails when one of its tasks has failed this often.
+pub const MAX_ATTEMPTS: usize = 3;
+
 /// Returns a job of `tasks` tasks that run for `ms` milliseconds each.
 pub fn job(tasks: u32, ms: u64) -> Value {
     let spec = json!({ "ms": ms, "cpu": 27_000 }).to_string();
@@ -41,7 +44,7 @@
         json!({
             "name": name, "host": HOST, "prefix": prefix, "kind": "unsafe",
             "timeout_ms": timeout_ms, "target_duration_ms": 400, "priority": 0,
-            "service": SERVICE, "max_attempts": 3, "stretch": 3.0,
+            "service": SERVICE, "max_attempts": MAX_ATTEMPTS, "stretch": 3.0,
         })
     };
     let config = json!({
--- a/soak/src/sabotage.rs
+++ b/soak/src/sabotage.rs
@@ -45,6 +45,8 @@
     Refusal,
     /// Answers a job that has not run as completed.
     Completion,
+    /// Answers a job that has not run as failed.
+    Failure,
     /// Closes connections without an answer during a planned stop.
     Cut,
     /// Never answers.
@@ -131,6 +133,7 @@
         self.read.lock().push(request.to_owned());
         match self.sabotage {
             Sabotage::Completion => conn.ok(r#"{"state":"completed"}"#),
+            Sabotage::Failure => conn.ok(r#"{"state":"failed"}"#),
             Sabotage::Refusal => {
                 self.start(&self.executors[..1], &name, 50).await;
                 conn.with_status(Status::ServiceUnavailable).halt()
