Soak: executors that crash and return under a new name

A crash closes the listener of the executor's proxy and resets its connections; the stand-in's runs are gone and count as crashed. After 0.3 to 1.5 s another stand-in answers at the same address under a new name. The store holds the old registration until 2.5 s after the crash.

--- a/soak/src/check/mod.rs
+++ b/soak/src/check/mod.rs
@@ -29,8 +29,6 @@
     pub begun: Instant,
     /// When the faults were over and the time to recover had passed.
     pub recovered_at: Instant,
-    /// Names of the executors, by index.
-    pub executors: &'a [String],
     /// Ids of the requests that each entry has read, by the index of the entry.
     pub read: &'a [HashSet<String>],
     /// Runs that still exist after all jobs had time to end.
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -63,10 +63,10 @@
 }
 
 /// An executor that was marked as leaving.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Leaving {
-    /// Index of the executor.
-    pub executor: usize,
+    /// Name of the executor's incarnation.
+    pub executor: String,
     /// When the store held the mark.
     pub at: Instant,
 }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -31,6 +31,9 @@
 /// How long an unplanned fault counts after its end, while a restarted entry starts up.
 const STARTUP_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time from the crash of an executor until the store removes its registration.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Delay of each direction of a slow connection.
 const NETWORK_DELAY: Duration = Duration::from_millis(60);
 
@@ -78,7 +81,7 @@
         match step.fault {
             Fault::Entry(entry, what) => self.inject_entry(entry, what, step.duration).await?,
             Fault::Executor(executor, what) => {
-                self.inject_executor(executor, what, step.duration).await
+                self.inject_executor(executor, what, step.duration).await?
             }
             Fault::Store(what) => self.inject_store(what, step.duration).await,
             Fault::Configure => self.configure(),
@@ -118,7 +121,12 @@
         Ok(())
     }
 
-    async fn inject_executor(&self, index: usize, what: ExecutorFault, duration: Duration) {
+    async fn inject_executor(
+        &self,
+        index: usize,
+        what: ExecutorFault,
+        duration: Duration,
+    ) -> Result<(), Error> {
         let worker = &self.site.workers[index];
         match what {
             ExecutorFault::HoldOrders => {
@@ -128,7 +136,7 @@
                 self.with_order_mode(index, BLOCK_RESPONSES, duration).await
             }
             ExecutorFault::ResetOrders => worker.orders.reset(),
-            ExecutorFault::Dark => worker.executor.change(|state, now| {
+            ExecutorFault::Dark => worker.executor().change(|state, now| {
                 state.unresponsive_until = now + Span(duration.as_micros() as u64);
             }),
             ExecutorFault::Fail => {
@@ -140,8 +148,27 @@
                 };
                 self.misbehave(index, duration, slow_down).await;
             }
-            ExecutorFault::Leave => self.leave(index),
+            ExecutorFault::Crash => self.crash(index, duration).await?,
+            ExecutorFault::Leave => self.leave(index).await,
         }
+        Ok(())
+    }
+
+    /// Crashes an executor for `downtime`. Its registration expires later, while the next
+    /// incarnation is registered already.
+    async fn crash(&self, index: usize, downtime: Duration) -> Result<(), Error> {
+        let worker = &self.site.workers[index];
+        let presence = worker.presence.lock().await;
+        let expires_at = Instant::now() + REGISTRATION_TIMEOUT;
+        let crashed = worker.executor().name.clone();
+        worker.crash().await;
+        Timer::after(downtime).await;
+        worker.restart(self.site.begun, &self.site.monitor).await?;
+        self.site.register(index, false);
+        drop(presence);
+        Timer::at(expires_at).await;
+        self.site.unregister(&crashed);
+        Ok(())
     }
 
     /// Writes the next version of the configuration to the store.
@@ -152,8 +179,12 @@
         self.history.update(|record| record.configured.push((Instant::now(), version)));
     }
 
-    fn leave(&self, executor: usize) {
-        self.site.register(executor, true);
+    /// Marks an executor as leaving, once it is up.
+    async fn leave(&self, index: usize) {
+        let worker = &self.site.workers[index];
+        let _presence = worker.presence.lock().await;
+        self.site.register(index, true);
+        let executor = worker.executor().name.clone();
         let at = Instant::now();
         self.history.update(|record| record.leaving.push(Leaving { executor, at }));
     }
@@ -232,7 +263,7 @@
         duration: Duration,
         change: impl Fn(&mut ExecutorState, bool),
     ) {
-        let executor = &self.site.workers[index].executor;
+        let executor = self.site.workers[index].executor();
         executor.change(|state, _| change(state, true));
         Timer::after(duration).await;
         executor.change(|state, _| change(state, false));
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod sabotage;
 pub mod site;
 pub mod watch;
+pub mod worker;
 
 mod error;
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -97,6 +97,10 @@
     /// Its tasks take several times as long.
     #[display("is slow")]
     Drag,
+    /// It crashes and returns under a new name at the same address. Its registration stays until
+    /// it expires.
+    #[display("crashes")]
+    Crash,
     /// It is marked as leaving.
     #[display("is leaving")]
     Leave,
@@ -152,6 +156,22 @@
 /// Duration of a fault in milliseconds.
 const DURATION_MS: std::ops::RangeInclusive<u64> = 150..=4_000;
 
+/// Number of series of crashes of executors in a play that has them.
+const CRASH_SERIES_COUNT: std::ops::RangeInclusive<usize> = 1..=3;
+
+/// Number of crashes of one series.
+const CRASH_SERIES_LENGTH: std::ops::RangeInclusive<usize> = 2..=6;
+
+/// Time in milliseconds from one crash of a series to the next.
+const CRASH_GAP_MS: std::ops::RangeInclusive<u64> = 20..=900;
+
+/// Time in milliseconds until a crashed executor returns.
+const CRASH_DURATION_MS: std::ops::RangeInclusive<u64> = 300..=1_500;
+
+/// Plans of lower seeds have no crashes of executors, so that seeds that were kept before this fault
+/// existed still have the same plan.
+const FIRST_SEED_WITH_CRASHES: u64 = 10_000;
+
 /// One play in this many has planned faults only.
 const PLANNED_ONLY_ONE_IN: u32 = 4;
 
@@ -163,6 +183,11 @@
     for _ in 0..random.random_range(SERIES_COUNT) {
         push_series(&mut random, size, planned_only, &mut steps);
     }
+    if seed >= FIRST_SEED_WITH_CRASHES && !planned_only {
+        for _ in 0..random.random_range(CRASH_SERIES_COUNT) {
+            push_crashes(&mut random, size, &mut steps);
+        }
+    }
     steps.sort_by_key(|step| step.at);
     // At most a third of the executors may leave, so that the others can carry the load.
     let mut left = 0;
@@ -185,6 +210,16 @@
     }
 }
 
+fn push_crashes(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
+    let mut at = Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64));
+    for _ in 0..random.random_range(CRASH_SERIES_LENGTH) {
+        let duration = Duration::from_millis(random.random_range(CRASH_DURATION_MS));
+        let executor = random.random_range(0..size.executors);
+        steps.push(Step { at, duration, fault: Fault::Executor(executor, ExecutorFault::Crash) });
+        at += Duration::from_millis(random.random_range(CRASH_GAP_MS));
+    }
+}
+
 /// Faults that an operator causes on purpose. The index is a placeholder.
 const PLANNED_FAULTS: [Fault; 3] = [
     Fault::Entry(0, EntryFault::Terminate),
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -171,16 +171,13 @@
     recovered_at: Instant,
     read: &[HashSet<String>],
 ) -> Vec<Violation> {
-    let workers = site.workers.iter();
-    let executors: Vec<_> = workers.clone().map(|worker| worker.executor.name.clone()).collect();
-    let left_over: Vec<_> =
-        workers.flat_map(|worker| worker.executor.running()).map(|run| run.to_string()).collect();
+    let running = site.workers.iter().flat_map(|worker| worker.executor().running());
+    let left_over: Vec<_> = running.map(|run| run.to_string()).collect();
     check::check(&Evidence {
         record,
         monitor: &site.monitor,
         begun: site.begun,
         recovered_at,
-        executors: &executors,
         read,
         left_over: &left_over,
     })
--- a/soak/src/sabotage.rs
+++ b/soak/src/sabotage.rs
@@ -100,7 +100,7 @@
     ///
     /// When no port can be bound.
     pub async fn start(sabotage: Sabotage, site: &Site) -> Result<FaultyServer, Error> {
-        let executors = site.workers.iter().map(|worker| worker.executor.address).collect();
+        let executors = site.workers.iter().map(|worker| worker.executor().address).collect();
         let caller = Arc::new(RawClient::new(8, Options::default()));
         let proxy = Arc::new(OnceLock::new());
         let read = Arc::new(Mutex::default());
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -7,14 +7,12 @@
     plan::Size,
     proxy::Proxy,
     relay::Relay,
+    worker::Worker,
 };
 use endpoint::http::{Options, RawClient, RawRequest};
 use serde_json::Value;
 use smol::{Timer, lock::Mutex};
-use standin::{
-    kv::Store,
-    leased::{Executor, RunMonitor},
-};
+use standin::{kv::Store, leased::RunMonitor};
 use std::{
     collections::HashSet,
     fs,
@@ -59,15 +57,6 @@
     pub store: Proxy,
 }
 
-/// An executor and the proxy in front of it.
-#[derive(Debug)]
-pub struct Worker {
-    /// Stand-in of the executor.
-    pub executor: Executor,
-    /// Proxy between entries and the executor.
-    pub orders: Proxy,
-}
-
 /// All processes and stand-ins of a play.
 #[derive(Debug)]
 pub struct Site {
@@ -114,10 +103,16 @@
 
     /// Writes an executor's registration to the store, as the executor does.
     pub fn register(&self, index: usize, leaves: bool) {
-        let Worker { executor, orders } = &self.workers[index];
+        let worker = &self.workers[index];
+        let (executor, address) = (worker.executor(), worker.orders.address);
         let data_centre = data_centre(index);
-        let entry = executor.registration_at(orders.address, SERVICE, data_centre, leaves, 1);
-        self.store.put(&format!("servers/{}", executor.name), &entry);
+        let entry = executor.registration_at(address, SERVICE, data_centre, leaves, 1);
+        self.store.put(&registration_key(&executor.name), &entry);
+    }
+
+    /// Removes the registration of an executor's incarnation from the store, as the platform does.
+    pub fn unregister(&self, name: &str) {
+        self.store.delete(&registration_key(name));
     }
 
     /// Kills all entries. This is explicit because tasks may hold references to the site after its
@@ -176,18 +171,6 @@
     }
 }
 
-impl Worker {
-    async fn start(
-        index: usize,
-        begun: Instant,
-        monitor: &Arc<RunMonitor>,
-    ) -> Result<Worker, Error> {
-        let executor = Executor::start(&format!("i-{index}"), begun, monitor)?;
-        let orders = Proxy::start(executor.address).await?;
-        Ok(Worker { executor, orders })
-    }
-}
-
 impl Node {
     async fn start(
         program: &Path,
@@ -214,6 +197,10 @@
     (line["decision"] == "admit").then(|| line["request"].as_str().map(str::to_owned))?
 }
 
+fn registration_key(name: &str) -> String {
+    format!("servers/{name}")
+}
+
 fn data_centre(index: usize) -> &'static str {
     DATA_CENTRES[index % DATA_CENTRES.len()]
 }
--- a/soak/src/watch.rs
+++ b/soak/src/watch.rs
@@ -76,7 +76,7 @@
 pub async fn runs(site: Arc<Site>, history: Arc<History>) {
     loop {
         Timer::after(RUNS_POLL_INTERVAL).await;
-        let running = site.workers.iter().flat_map(|worker| worker.executor.running());
+        let running = site.workers.iter().flat_map(|worker| worker.executor().running());
         for run in running {
             match history.unwanted_for(&run.job) {
                 Some(span) if span > MAX_UNWANTED_TIME => {
