--- a/components/standin/src/leased/serve.rs
+++ b/components/standin/src/leased/serve.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 use runs::{
     action::{Poll, Start},
-    executor::{Ended, Listing, Refusal, Response, RunResult, StartResponse},
+    executor::{Ended, Incarnation, Listing, Refusal, Response, RunResult, StartResponse},
     job::Run,
 };
 use serde::{Deserialize, Serialize};
@@ -97,6 +97,8 @@
     labels: [&'a str; 1],
     clock_ms: u64,
     sequence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    born: Option<Incarnation>,
 }
 
 impl Executor {
@@ -106,13 +108,29 @@
     ///
     /// When the address can't be bound.
     pub fn start(name: &str, epoch: Instant, monitor: &Arc<RunMonitor>) -> io::Result<Executor> {
+        Self::start_incarnation(name, None, epoch, monitor)
+    }
+
+    /// Starts an incarnation that shares its name with others.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub fn start_incarnation(
+        name: &str,
+        incarnation: Option<Incarnation>,
+        epoch: Instant,
+        monitor: &Arc<RunMonitor>,
+    ) -> io::Result<Executor> {
         let capacity = Resources {
             slots: Slots(8),
             cores: Cores(64_000),
             memory: Memory(64 << 30),
             ..Resources::default()
         };
-        let state = Arc::new(Mutex::new(ExecutorState::new(capacity, 10, 5_000)));
+        let mut state = ExecutorState::new(capacity, 10, 5_000);
+        state.incarnation = incarnation;
+        let state = Arc::new(Mutex::new(state));
         monitor.add(&state);
         let shared = Arc::new(Shared {
             name: name.to_owned(),
@@ -145,6 +163,10 @@
         draining: bool,
         sequence: u64,
     ) -> Vec<u8> {
+        let (clock_ms, born) = {
+            let state = self.shared.state.lock();
+            (state.clock(self.shared.now()), state.incarnation)
+        };
         let registration = Registration {
             service,
             address,
@@ -155,8 +177,9 @@
             cold_remaining_ms: 0,
             capacity: json!({ "cpu": 64_000, "mem_mb": 65_536, "gpu": 0 }),
             labels: ["a"],
-            clock_ms: self.shared.state.lock().clock(self.shared.now()),
+            clock_ms,
             sequence,
+            born,
         };
         serde_json::to_vec(&registration).unwrap_or_default()
     }
@@ -332,7 +355,11 @@
         .map(|run| json!([run.task_name(), run.number, "", 100, 0]))
         .collect();
     let ended: Vec<_> = listing.ended.iter().filter_map(ended_row).collect();
-    json!({ "clock_ms": listing.clock, "running": running, "ended": ended })
+    let mut response = json!({ "clock_ms": listing.clock, "running": running, "ended": ended });
+    if let Some(incarnation) = listing.incarnation {
+        response["born"] = json!(incarnation);
+    }
+    response
 }
 
 fn ended_row(ended: &Ended) -> Option<Value> {
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -155,7 +155,7 @@
     }
 
     /// Crashes an executor for `downtime`. Its registration expires later, while the next
-    /// incarnation is registered already.
+    /// incarnation is registered already, unless it is replaced by one with the same name.
     async fn crash(&self, index: usize, downtime: Duration) -> Result<(), Error> {
         let worker = &self.site.workers[index];
         let presence = worker.presence.lock().await;
@@ -167,7 +167,9 @@
         self.site.register(index, false);
         drop(presence);
         Timer::at(expires_at).await;
-        self.site.unregister(&crashed);
+        if worker.executor().name != crashed {
+            self.site.unregister(&crashed);
+        }
         Ok(())
     }
 
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,7 +4,7 @@
 use smol::lock::Semaphore;
 use soak::{
     Error,
-    plan::{self, Size},
+    plan::{self, Naming, Size},
     play::{self, Verdict},
     sabotage::Sabotage,
 };
@@ -87,6 +87,9 @@
     if args.plan {
         for seed in seeds {
             println!("seed {seed}");
+            if plan::naming(seed) == Naming::Shared {
+                println!("  incarnations of an executor share its name");
+            }
             plan::plan(seed, &size).iter().for_each(|step| println!("  {step}"));
         }
         return Ok(true);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -97,8 +97,8 @@
     /// Its tasks take several times as long.
     #[display("is slow")]
     Drag,
-    /// It crashes and returns under a new name at the same address. Its registration stays until
-    /// it expires.
+    /// It crashes and returns as a new incarnation at the same address. Its registration stays
+    /// until it expires or is replaced.
     #[display("crashes")]
     Crash,
     /// It is marked as leaving.
@@ -132,6 +132,15 @@
     }
 }
 
+/// How the incarnations of an executor are named.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Naming {
+    /// Each has a name of its own.
+    Distinct,
+    /// All have the same name and differ in their start time.
+    Shared,
+}
+
 /// A fault with its time.
 #[derive(Clone, Copy, Debug, Display)]
 #[display("{:6.2} s, for {:4.2} s: {fault}", at.as_secs_f64(), duration.as_secs_f64())]
@@ -175,6 +184,20 @@
 /// One play in this many has planned faults only.
 const PLANNED_ONLY_ONE_IN: u32 = 4;
 
+/// Incarnations share a name in one play in this many of those with crashes.
+const SHARED_NAMES_ONE_IN: u32 = 3;
+
+/// Returns how the incarnations of an executor are named in the play of a seed.
+pub fn naming(seed: u64) -> Naming {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    // A stream of its own, since `plan` draws from the first.
+    random.set_stream(1);
+    match seed >= FIRST_SEED_WITH_CRASHES && random.random_ratio(1, SHARED_NAMES_ONE_IN) {
+        true => Naming::Shared,
+        false => Naming::Distinct,
+    }
+}
+
 /// Returns the steps of a seed, in order of time.
 pub fn plan(seed: u64, size: &Size) -> Vec<Step> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -78,7 +78,7 @@
     size: &Size,
     sabotage: Option<Sabotage>,
 ) -> Result<Verdict, Error> {
-    let site = Arc::new(Site::start(program, size).await?);
+    let site = Arc::new(Site::start(program, size, plan::naming(seed)).await?);
     let verdict = play_at(&site, seed, size, sabotage).await;
     site.kill_entries().await?;
     let verdict = verdict?;
