--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -169,10 +169,11 @@
 const CRASH_SERIES_COUNT: std::ops::RangeInclusive<usize> = 1..=3;
 
 /// Number of crashes of one series.
-const CRASH_SERIES_LENGTH: std::ops::RangeInclusive<usize> = 2..=6;
+const CRASH_SERIES_LENGTH: std::ops::RangeInclusive<usize> = 2..=8;
 
-/// Time in milliseconds from one crash of a series to the next.
-const CRASH_GAP_MS: std::ops::RangeInclusive<u64> = 20..=900;
+/// Time in milliseconds from one crash of a series to the next: in half of the series a machine
+/// or a rack fails, and executors crash almost at once.
+const CRASH_GAPS_MS: [std::ops::RangeInclusive<u64>; 2] = [20..=900, 1..=60];
 
 /// Time in milliseconds until a crashed executor returns.
 const CRASH_DURATION_MS: std::ops::RangeInclusive<u64> = 300..=1_500;
@@ -235,11 +236,12 @@
 
 fn push_crashes(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
     let mut at = Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64));
+    let gaps_ms = CRASH_GAPS_MS.choose(random).unwrap_or(&CRASH_GAPS_MS[0]).clone();
     for _ in 0..random.random_range(CRASH_SERIES_LENGTH) {
         let duration = Duration::from_millis(random.random_range(CRASH_DURATION_MS));
         let executor = random.random_range(0..size.executors);
         steps.push(Step { at, duration, fault: Fault::Executor(executor, ExecutorFault::Crash) });
-        at += Duration::from_millis(random.random_range(CRASH_GAP_MS));
+        at += Duration::from_millis(random.random_range(gaps_ms.clone()));
     }
 }
 
