--- a/components/standin/src/leased/serve.rs
+++ b/components/standin/src/leased/serve.rs
@@ -1,12 +1,12 @@
-//! The executor's HTTP API, and the check that no task runs on two executors at the same time.
+//! The executor's HTTP API.
 
-use super::ExecutorState;
+use super::{ExecutorState, RunMonitor};
 use crate::serve::Loopback;
 use event_listener::Event;
 use parking_lot::Mutex;
 use runs::{
     action::{Poll, Start},
-    executor::{Ended, Listing, Refusal, Response, RunResult, StartResponse},
+    executor::{Ended, Incarnation, Listing, Refusal, Response, RunResult, StartResponse},
     job::Run,
 };
 use serde::{Deserialize, Serialize};
@@ -17,7 +17,6 @@
 };
 use smol::{Timer, future::FutureExt};
 use std::{
-    collections::BTreeMap,
     io,
     net::SocketAddr,
     sync::Arc,
@@ -28,34 +27,6 @@
 /// Interval at which a waiting poll checks for ended runs.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
-/// Records the runs of all executors that share it, and tasks that run on two of them at the same
-/// time.
-#[derive(Debug, Default)]
-pub struct RunMonitor {
-    state: Mutex<MonitorState>,
-}
-
-/// A run that an executor has started.
-#[derive(Clone, Debug)]
-pub struct StartedRun {
-    /// Time of the start, since the common time origin of the test.
-    pub at: Time,
-    /// Name of the executor.
-    pub executor: String,
-    /// The run that was started.
-    pub run: Run,
-}
-
-#[derive(Debug, Default)]
-struct MonitorState {
-    starts: BTreeMap<String, u64>,
-    /// All runs that were started, in order.
-    started_runs: Vec<StartedRun>,
-    /// Pairs of runs of one task that were in progress on two executors at the same time.
-    concurrent_runs: Vec<String>,
-    executors: Vec<Arc<Mutex<ExecutorState>>>,
-}
-
 /// A running stand-in. Stops when it is dropped.
 #[derive(Debug)]
 pub struct Executor {
@@ -126,50 +97,8 @@
     labels: [&'a str; 1],
     clock_ms: u64,
     sequence: u64,
-}
-
-impl RunMonitor {
-    /// Returns the pairs of runs of one task that were in progress on two executors at the same time.
-    pub fn concurrent_runs(&self) -> Vec<String> {
-        self.state.lock().concurrent_runs.clone()
-    }
-
-    /// Returns how many runs were started for jobs whose id starts with `job`.
-    pub fn starts(&self, job: &str) -> u64 {
-        let state = self.state.lock();
-        state.starts.iter().filter(|(name, _)| name.starts_with(job)).map(|(_, n)| n).sum()
-    }
-
-    /// Returns all runs that were started, in order.
-    pub fn started_runs(&self) -> Vec<StartedRun> {
-        self.state.lock().started_runs.clone()
-    }
-
-    /// Whether a task has completed on any executor.
-    pub fn is_done(&self, job: &str, index: u16) -> bool {
-        let executors = self.state.lock().executors.clone();
-        executors.iter().any(|state| state.lock().done.contains(&(job.to_owned(), index)))
-    }
-
-    fn record_start(&self, now: Time, executor: &str, own: &Arc<Mutex<ExecutorState>>, run: &Run) {
-        let mut state = self.state.lock();
-        let executor = executor.to_owned();
-        state.started_runs.push(StartedRun { at: now, executor, run: run.clone() });
-        *state.starts.entry(format!("{}.{}", run.job, run.index)).or_default() += 1;
-        let others: Vec<_> =
-            state.executors.iter().filter(|state| !Arc::ptr_eq(state, own)).cloned().collect();
-        for other in others {
-            let mut other = other.lock();
-            other.end_due_runs(now);
-            let is_same_task =
-                |other_run: &&Run| other_run.job == run.job && other_run.index == run.index;
-            if let Some(other_run) = other.running.keys().find(is_same_task)
-                && other.up
-            {
-                state.concurrent_runs.push(format!("{run} beside {other_run}"));
-            }
-        }
-    }
+    #[serde(skip_serializing_if = "Option::is_none")]
+    born: Option<Incarnation>,
 }
 
 impl Executor {
@@ -179,14 +108,30 @@
     ///
     /// When the address can't be bound.
     pub fn start(name: &str, epoch: Instant, monitor: &Arc<RunMonitor>) -> io::Result<Executor> {
+        Self::start_incarnation(name, None, epoch, monitor)
+    }
+
+    /// Starts an incarnation that shares its name with others.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub fn start_incarnation(
+        name: &str,
+        incarnation: Option<Incarnation>,
+        epoch: Instant,
+        monitor: &Arc<RunMonitor>,
+    ) -> io::Result<Executor> {
         let capacity = Resources {
             slots: Slots(8),
             cores: Cores(64_000),
             memory: Memory(64 << 30),
             ..Resources::default()
         };
-        let state = Arc::new(Mutex::new(ExecutorState::new(capacity, 10, 5_000)));
-        monitor.state.lock().executors.push(state.clone());
+        let mut state = ExecutorState::new(capacity, 10, 5_000);
+        state.incarnation = incarnation;
+        let state = Arc::new(Mutex::new(state));
+        monitor.add(&state);
         let shared = Arc::new(Shared {
             name: name.to_owned(),
             epoch,
@@ -218,6 +163,10 @@
         draining: bool,
         sequence: u64,
     ) -> Vec<u8> {
+        let (clock_ms, born) = {
+            let state = self.shared.state.lock();
+            (state.clock(self.shared.now()), state.incarnation)
+        };
         let registration = Registration {
             service,
             address,
@@ -228,8 +177,9 @@
             cold_remaining_ms: 0,
             capacity: json!({ "cpu": 64_000, "mem_mb": 65_536, "gpu": 0 }),
             labels: ["a"],
-            clock_ms: self.shared.state.lock().clock(self.shared.now()),
+            clock_ms,
             sequence,
+            born,
         };
         serde_json::to_vec(&registration).unwrap_or_default()
     }
@@ -239,6 +189,11 @@
         change(&mut self.shared.state.lock(), self.shared.now());
     }
 
+    /// Crashes the executor: its runs are gone without an end, and it carries out no more orders.
+    pub fn crash(&self) {
+        self.shared.state.lock().crash(self.shared.now());
+    }
+
     /// Returns the runs in progress.
     pub fn running(&self) -> Vec<Run> {
         let mut state = self.shared.state.lock();
@@ -266,6 +221,9 @@
         let now = self.now();
         let (response, is_new) = {
             let mut state = self.state.lock();
+            if !state.up {
+                return crashed();
+            }
             let was_running = state.running.contains_key(&run);
             let response = state.start(now, &start, needs, spec.ms * 1_000);
             if let Some(running) = state.running.get_mut(&run)
@@ -361,6 +319,9 @@
             },
             _ => (404, json!({})),
         };
+        // The executor may have crashed since the order arrived.
+        let (status, response) =
+            if shared.state.lock().up { (status, response) } else { crashed() };
         conn.with_status(status).with_body(response.to_string()).halt()
     }
 }
@@ -369,6 +330,10 @@
     serde_json::from_str(body).ok()
 }
 
+fn crashed() -> (u16, Value) {
+    (503, json!({}))
+}
+
 fn malformed() -> (u16, Value) {
     (400, json!({ "clock_ms": 0, "reason": "malformed" }))
 }
@@ -390,7 +355,11 @@
         .map(|run| json!([run.task_name(), run.number, "", 100, 0]))
         .collect();
     let ended: Vec<_> = listing.ended.iter().filter_map(ended_row).collect();
-    json!({ "clock_ms": listing.clock, "running": running, "ended": ended })
+    let mut response = json!({ "clock_ms": listing.clock, "running": running, "ended": ended });
+    if let Some(incarnation) = listing.incarnation {
+        response["born"] = json!(incarnation);
+    }
+    response
 }
 
 fn ended_row(ended: &Ended) -> Option<Value> {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -97,6 +97,10 @@
     /// Its tasks take several times as long.
     #[display("is slow")]
     Drag,
+    /// It crashes and returns as a new incarnation at the same address. Its registration stays
+    /// until it expires or is replaced.
+    #[display("crashes")]
+    Crash,
     /// It is marked as leaving.
     #[display("is leaving")]
     Leave,
@@ -128,6 +132,15 @@
     }
 }
 
+/// How the incarnations of an executor are named.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Naming {
+    /// Each has a name of its own.
+    Distinct,
+    /// All have the same name and differ in their start time.
+    Shared,
+}
+
 /// A fault with its time.
 #[derive(Clone, Copy, Debug, Display)]
 #[display("{:6.2} s, for {:4.2} s: {fault}", at.as_secs_f64(), duration.as_secs_f64())]
@@ -152,9 +165,40 @@
 /// Duration of a fault in milliseconds.
 const DURATION_MS: std::ops::RangeInclusive<u64> = 150..=4_000;
 
+/// Number of series of crashes of executors in a play that has them.
+const CRASH_SERIES_COUNT: std::ops::RangeInclusive<usize> = 1..=3;
+
+/// Number of crashes of one series.
+const CRASH_SERIES_LENGTH: std::ops::RangeInclusive<usize> = 2..=8;
+
+/// Time in milliseconds from one crash of a series to the next: in half of the series a machine
+/// or a rack fails, and executors crash almost at once.
+const CRASH_GAPS_MS: [std::ops::RangeInclusive<u64>; 2] = [20..=900, 1..=60];
+
+/// Time in milliseconds until a crashed executor returns.
+const CRASH_DURATION_MS: std::ops::RangeInclusive<u64> = 300..=1_500;
+
+/// Plans of lower seeds have no crashes of executors, so that seeds that were kept before this fault
+/// existed still have the same plan.
+const FIRST_SEED_WITH_CRASHES: u64 = 10_000;
+
 /// One play in this many has planned faults only.
 const PLANNED_ONLY_ONE_IN: u32 = 4;
 
+/// Incarnations share a name in one play in this many of those with crashes.
+const SHARED_NAMES_ONE_IN: u32 = 3;
+
+/// Returns how the incarnations of an executor are named in the play of a seed.
+pub fn naming(seed: u64) -> Naming {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    // A stream of its own, since `plan` draws from the first.
+    random.set_stream(1);
+    match seed >= FIRST_SEED_WITH_CRASHES && random.random_ratio(1, SHARED_NAMES_ONE_IN) {
+        true => Naming::Shared,
+        false => Naming::Distinct,
+    }
+}
+
 /// Returns the steps of a seed, in order of time.
 pub fn plan(seed: u64, size: &Size) -> Vec<Step> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -163,6 +207,11 @@
     for _ in 0..random.random_range(SERIES_COUNT) {
         push_series(&mut random, size, planned_only, &mut steps);
     }
+    if seed >= FIRST_SEED_WITH_CRASHES && !planned_only {
+        for _ in 0..random.random_range(CRASH_SERIES_COUNT) {
+            push_crashes(&mut random, size, &mut steps);
+        }
+    }
     steps.sort_by_key(|step| step.at);
     // At most a third of the executors may leave, so that the others can carry the load.
     let mut left = 0;
@@ -185,6 +234,17 @@
     }
 }
 
+fn push_crashes(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
+    let mut at = Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64));
+    let gaps_ms = CRASH_GAPS_MS.choose(random).unwrap_or(&CRASH_GAPS_MS[0]).clone();
+    for _ in 0..random.random_range(CRASH_SERIES_LENGTH) {
+        let duration = Duration::from_millis(random.random_range(CRASH_DURATION_MS));
+        let executor = random.random_range(0..size.executors);
+        steps.push(Step { at, duration, fault: Fault::Executor(executor, ExecutorFault::Crash) });
+        at += Duration::from_millis(random.random_range(gaps_ms.clone()));
+    }
+}
+
 /// Faults that an operator causes on purpose. The index is a placeholder.
 const PLANNED_FAULTS: [Fault; 3] = [
     Fault::Entry(0, EntryFault::Terminate),
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -78,7 +78,7 @@
     size: &Size,
     sabotage: Option<Sabotage>,
 ) -> Result<Verdict, Error> {
-    let site = Arc::new(Site::start(program, size).await?);
+    let site = Arc::new(Site::start(program, size, plan::naming(seed)).await?);
     let verdict = play_at(&site, seed, size, sabotage).await;
     site.kill_entries().await?;
     let verdict = verdict?;
@@ -171,16 +171,13 @@
     recovered_at: Instant,
     read: &[HashSet<String>],
 ) -> Vec<Violation> {
-    let workers = site.workers.iter();
-    let executors: Vec<_> = workers.clone().map(|worker| worker.executor.name.clone()).collect();
-    let left_over: Vec<_> =
-        workers.flat_map(|worker| worker.executor.running()).map(|run| run.to_string()).collect();
+    let running = site.workers.iter().flat_map(|worker| worker.executor().running());
+    let left_over: Vec<_> = running.map(|run| run.to_string()).collect();
     check::check(&Evidence {
         record,
         monitor: &site.monitor,
         begun: site.begun,
         recovered_at,
-        executors: &executors,
         read,
         left_over: &left_over,
     })
--- a/soak/src/sabotage.rs
+++ b/soak/src/sabotage.rs
@@ -45,6 +45,8 @@
     Refusal,
     /// Answers a job that has not run as completed.
     Completion,
+    /// Answers a job that has not run as failed.
+    Failure,
     /// Closes connections without an answer during a planned stop.
     Cut,
     /// Never answers.
@@ -98,7 +100,7 @@
     ///
     /// When no port can be bound.
     pub async fn start(sabotage: Sabotage, site: &Site) -> Result<FaultyServer, Error> {
-        let executors = site.workers.iter().map(|worker| worker.executor.address).collect();
+        let executors = site.workers.iter().map(|worker| worker.executor().address).collect();
         let caller = Arc::new(RawClient::new(8, Options::default()));
         let proxy = Arc::new(OnceLock::new());
         let read = Arc::new(Mutex::default());
@@ -131,6 +133,7 @@
         self.read.lock().push(request.to_owned());
         match self.sabotage {
             Sabotage::Completion => conn.ok(r#"{"state":"completed"}"#),
+            Sabotage::Failure => conn.ok(r#"{"state":"failed"}"#),
             Sabotage::Refusal => {
                 self.start(&self.executors[..1], &name, 50).await;
                 conn.with_status(Status::ServiceUnavailable).halt()
