--- a/components/runs/tests/common/executors.rs
+++ b/components/runs/tests/common/executors.rs
@@ -4,7 +4,7 @@
 use runs::{
     Action, Entry, Event, Executor, Job, Options,
     action::Poll,
-    executor::{Ended, Incarnation, Listing, Response, RunResult, Service, StartResponse},
+    executor::{Ended, Incarnation, Listing, Refusal, Response, RunResult, Service, StartResponse},
     job::{Answer, Run},
 };
 use site::{
@@ -26,6 +26,8 @@
     Down,
     /// The next incarnation, which has another name and rejects orders for the executor.
     Replaced,
+    /// The executor, which refuses every start.
+    Refusing(Refusal),
 }
 
 /// One simulated executor.
@@ -45,8 +47,8 @@
     /// Executor, run and lease deadline of each start.
     pub(crate) starts: Vec<(EndpointId, Run, u64)>,
     polls: Vec<Poll>,
-    /// Results of starts that were not sent, which arrive with the next tick.
-    unsent: Vec<Event>,
+    /// Results of starts that were not sent or were refused, which arrive with the next tick.
+    not_started: Vec<Event>,
     pub(crate) answers: Vec<Answer>,
     /// Number of stops that were carried out.
     stops: usize,
@@ -66,7 +68,7 @@
                 .collect(),
             starts: Vec::new(),
             polls: Vec::new(),
-            unsent: Vec::new(),
+            not_started: Vec::new(),
             answers: Vec::new(),
             stops: 0,
             jobs: 0,
@@ -97,10 +99,14 @@
                         StartResponse::Running { clock: fake.clock(self.now) }
                     }
                     Process::Silent => StartResponse::Unknown,
-                    Process::Down => {
-                        let reply = StartResponse::Unsent;
+                    Process::Down | Process::Refusing(_) => {
+                        let clock = Some(fake.clock(self.now));
+                        let reply = match fake.process {
+                            Process::Refusing(why) => StartResponse::Refused { clock, why },
+                            _ => StartResponse::Unsent,
+                        };
                         let (executor, run) = (start.executor, start.run);
-                        self.unsent.push(Event::Started { executor, run, reply });
+                        self.not_started.push(Event::Started { executor, run, reply });
                         return None;
                     }
                     Process::Replaced => StartResponse::Gone,
@@ -117,7 +123,7 @@
             }
             Action::Stop { executor, run, .. } => {
                 let reply = match self.executors[&executor].process {
-                    Process::Up => {
+                    Process::Up | Process::Refusing(_) => {
                         self.stops += 1;
                         Response::Done(())
                     }
@@ -135,7 +141,9 @@
         for poll in std::mem::take(&mut self.polls) {
             let fake = &self.executors[&poll.executor];
             let reply = match fake.process {
-                Process::Up => Response::Done(fake.listing(self.now, poll.acknowledged)),
+                Process::Up | Process::Refusing(_) => {
+                    Response::Done(fake.listing(self.now, poll.acknowledged))
+                }
                 Process::Silent | Process::Down => Response::Silent,
                 Process::Replaced => Response::Gone,
             };
@@ -148,7 +156,7 @@
         while self.now < until {
             self.now = self.now + TICK_INTERVAL;
             self.handle(Event::Tick);
-            std::mem::take(&mut self.unsent).into_iter().for_each(|event| self.handle(event));
+            std::mem::take(&mut self.not_started).into_iter().for_each(|event| self.handle(event));
             self.respond_to_polls();
         }
     }
