Test that fails: a run whose transfer was late is known to nobody

An executor that has responded to its new keeper's first poll is in use, so the state that the former keeper sends after that is ignored, and the former keeper has forgotten the runs. The test the_home_hears_of_a_run_whose_transfer_was_late gets neither a moved nor an ended message (0 instead of 1): the job waits until nobody needs its answer.

--- a/components/runs/tests/mistaken_ends.rs
+++ b/components/runs/tests/mistaken_ends.rs
@@ -156,6 +156,8 @@
     polls: Vec<Poll>,
     stops: Vec<Run>,
     ends: Vec<End>,
+    /// Number of runs that it has told their homes to have.
+    moved: usize,
 }
 
 impl NewKeeper {
@@ -164,7 +166,7 @@
         let now = Time(1_000_000);
         let entry = Entry::new(me, Options::default(), now);
         let (polls, stops, ends) = (Vec::new(), Vec::new(), Vec::new());
-        let mut keeper = Self { entry, now, claimed: false, polls, stops, ends };
+        let mut keeper = Self { entry, now, claimed: false, polls, stops, ends, moved: 0 };
         keeper.handle(Event::Members { revision: Revision(42), members: vec![me, former] });
         keeper.handle(Event::Executors(vec![executor]));
         keeper.handle(Event::PeerUp { peer: former });
@@ -182,6 +184,7 @@
                 Action::Send { message: Message::Ended(ended), .. } => {
                     self.ends.extend(ended.iter().map(|ended| ended.end));
                 }
+                Action::Send { message: Message::Moved(runs), .. } => self.moved += runs.len(),
                 _ => {}
             }
         }
@@ -281,6 +284,20 @@
     assert_ne!(keeper.end(None), End::NotRun);
 }
 
+/// The former keeper did not run for longer than it may take to transfer an executor. It forgets
+/// the runs that it transfers, so their home waits for the new keeper.
+#[test]
+fn the_home_hears_of_a_run_whose_transfer_was_late() {
+    let mut keeper = NewKeeper::new(renamed("i-0"));
+    let poll = keeper.wait_for_poll();
+    keeper.respond(poll, None, Vec::new());
+    keeper.receive_transfer(None);
+    for _ in 0..400 {
+        keeper.tick();
+    }
+    assert_eq!(keeper.moved + keeper.ends.len(), 1);
+}
+
 /// Two handovers follow each other, and the message of the first is later than the end of the run.
 #[test]
 fn a_task_whose_run_has_ended_is_not_left_to_an_earlier_keeper() {
