A run that was never confirmed is not suspected of a crash within its lease

Callers would see: 504 for a job whose starts met four executors that had been replaced already, though a sound one was left; a wave of restarts is enough where a pooled connection breaks under the start, so that there is no rejection to read. Cause: such a run counted towards the four executors that may be lost under a task. The next incarnation answers sooner than a lease ends, so it was there before the start. Test executors_replaced_before_they_confirmed_a_start_do_not_exhaust_a_job, found by the review: given up after four before, and all six executors tried now. Its loop has eight rounds in place of five: some polls meet the executor before it is replaced, and five rounds saw five starts on code that is right. The assertions are the same.

--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -65,7 +65,7 @@
         incarnation: Option<Incarnation>,
         out: &mut Vec<Action>,
     ) {
-        let ends: Vec<_> = self.runs.values().map(|live| self.loss(now, live)).collect();
+        let ends: Vec<_> = self.runs.values().map(|live| self.end_if_gone(now, live)).collect();
         for (live, end) in self.runs.values_mut().zip(ends) {
             live.end_if_lost = end;
         }
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -231,15 +231,15 @@
 
     /// How a run ended whose incarnation is found to have ended at `now`. It was a crash under the
     /// run only if the executor had confirmed the run, and neither a stop, a planned leave nor the
-    /// end of its lease can have ended it before.
-    pub(crate) fn loss(&self, now: Time, live: &TrackedRun) -> End {
-        let was_running = live.seen.is_some()
-            && !live.is_being_stopped()
-            && !self.executor.leaving
-            && !self.has_expired(now);
-        match was_running {
-            true => End::ExecutorCrashed,
-            false => End::ExecutorLost,
+    /// end of its lease can have ended it before. A run that was never confirmed is not suspected of
+    /// having crashed an executor that was replaced within the lease.
+    pub(crate) fn end_if_gone(&self, now: Time, live: &TrackedRun) -> End {
+        let may_have_ended =
+            live.is_being_stopped() || self.executor.leaving || self.has_expired(now);
+        match (live.seen.is_some(), may_have_ended) {
+            (true, false) => End::ExecutorCrashed,
+            (false, false) => End::Lost,
+            (_, true) => End::ExecutorLost,
         }
     }
 
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -322,7 +322,7 @@
             .runs
             .iter()
             .filter(|(_, live)| live.state != State::Starting)
-            .map(|(run, live)| (run.clone(), lease.loss(now, live)))
+            .map(|(run, live)| (run.clone(), lease.end_if_gone(now, live)))
             .collect();
         for (run, end) in runs {
             self.end_run(now, id, &run, end, Ending::ExecutorGone, out);
--- a/components/runs/tests/mistaken_ends.rs
+++ b/components/runs/tests/mistaken_ends.rs
@@ -36,7 +36,8 @@
         scene.executor(*id).process = Process::Silent;
     }
     scene.submit();
-    for _ in 0..5 {
+    // A poll that an executor does not answer any more is repeated later.
+    for _ in 0..8 {
         let latest = scene.latest();
         if scene.executor(latest).process == Process::Silent {
             scene.executor(latest).process = Process::Replaced;
