A start refused as old tells that the task may have run

Callers would see: 503, not run, for a job whose earlier submission had run through another entry. Cause: the refusal counted as not run, though it proves a run of that task on the executor.

--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -212,10 +212,10 @@
     }
 
     /// A run of the task with a higher number was there: its caller's earlier submission reached
-    /// another entry.
+    /// another entry. So the task has run, or may have.
     fn old_run(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
         let before = self.ends.len();
-        self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
+        self.end_run(now, id, run, End::Lost, Ending::Refused, out);
         if let Some(ended) = self.ends.get_mut(before) {
             ended.run += OLD_RUN_STEP;
         }
