Pause starts at an executor that refuses one as unhealthy

Callers saw nothing wrong, but an entry sent the same task to the same unhealthy executor 101 times in 500 ms: the loop of unsent starts, through the other refusals that change nothing.

--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -57,7 +57,7 @@
     }
 
     /// Records a new incarnation. Resets `gone`, the clock, the lease deadline, the numbers of handled
-    /// ends, the missed polls and `full_until`. The token, `tries`, `inherited_until`, slowness,
+    /// ends, the missed polls and `no_start_before`. The token, `tries`, `inherited_until`, slowness,
     /// health, `last_completed` and the runs stay: the next listing decides about the runs.
     fn begin_incarnation(
         &mut self,
@@ -77,7 +77,7 @@
         self.acknowledged = 0;
         self.confirmed = 0;
         self.missed_polls = 0;
-        self.full_until = Time(0);
+        self.no_start_before = Time(0);
         log_keep(self, KeepChange::Reborn, out);
     }
 }
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -54,9 +54,8 @@
     pub(crate) missed_polls: u32,
     /// Entries that were sent an executor claim and have not answered.
     pub(crate) claim_recipients: Vec<Home>,
-    /// No start before this time: the executor refused one for lack of room, or one could not be
-    /// sent.
-    pub(crate) full_until: Time,
+    /// No start before this time: the executor refused one, or one could not be sent.
+    pub(crate) no_start_before: Time,
     /// Whether it starts every task that it is ordered to, so that its capacity has to be enforced
     /// here.
     pub(crate) overcommits: bool,
@@ -172,7 +171,7 @@
             poll_at: None,
             missed_polls: 0,
             claim_recipients: Vec::new(),
-            full_until: Time(0),
+            no_start_before: Time(0),
             overcommits: false,
             slowness: 1.0,
             last_completed: Time(0),
@@ -194,7 +193,7 @@
             && !self.executor.leaving
             && !self.gone
             && self.missed_polls == 0
-            && self.full_until <= now
+            && self.no_start_before <= now
             && self.knows_clock(now)
             && !(self.overcommits && self.has_unknown_runs())
     }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -14,9 +14,9 @@
 };
 use std::cmp::Reverse;
 
-/// How long an executor that refused a start for lack of room, or could not be sent one, gets no
-/// other. About the time until its next listing, which shows what occupies it.
-const FULL_PAUSE: Span = Span::from_millis(100);
+/// How long an executor that refused a start, or could not be sent one, gets no other. About the
+/// time until its next listing, which shows what occupies it.
+const START_PAUSE: Span = Span::from_millis(100);
 
 /// Added to the run number when the executor knows a higher one.
 const OLD_RUN_STEP: u32 = 50;
@@ -176,13 +176,12 @@
             why,
         }));
         match why {
-            Refusal::Room | Refusal::Late => {
-                lease.full_until = now + FULL_PAUSE;
+            Refusal::Room | Refusal::Late | Refusal::Unhealthy | Refusal::Invalid => {
+                lease.no_start_before = now + START_PAUSE;
                 lease.poll_at.get_or_insert(now);
             }
             Refusal::Fenced => return self.fenced(now, id, out),
             Refusal::OldRun => return self.old_run(now, id, run, out),
-            Refusal::Unhealthy | Refusal::Invalid => {}
         }
         self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
     }
@@ -191,7 +190,7 @@
     /// would send the task there again at once.
     fn start_unsent(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
         if let Some(lease) = self.leases.get_mut(&id) {
-            lease.full_until = now + FULL_PAUSE;
+            lease.no_start_before = now + START_PAUSE;
             // An outstanding poll shows whether it responds.
             if lease.outstanding_poll.is_none() {
                 lease.missed_polls += 1;
