An outdated registration ends no run

Callers would see: failed, with executors that live, where the store repeats the registration of an earlier incarnation (a wall clock that was set back) and one response is lost; and the task would run twice at one time. Cause: a registration with a later start time counted as a restart, which clears the clock and with it all that tells how long the lease lasts, so that the first lost response ended all runs. Now the lease is taken to last as long as after a change of keepers. Only for executors that keep their names.

--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -12,7 +12,10 @@
     job::Run,
     message::End,
 };
-use site::{id::EndpointId, unit::Time};
+use site::{
+    id::EndpointId,
+    unit::{Span, Time},
+};
 use std::cmp::Ordering;
 
 /// How a reported incarnation compares with the known one.
@@ -46,8 +49,16 @@
 
     /// Applies a registration that shows a new incarnation: the executor is polled before its next
     /// use, and its listing decides about earlier runs.
-    pub(super) fn restart(&mut self, now: Time, registered: Executor, out: &mut Vec<Action>) {
+    pub(super) fn restart(
+        &mut self,
+        now: Time,
+        lease: Span,
+        registered: Executor,
+        out: &mut Vec<Action>,
+    ) {
         self.begin_incarnation(now, registered.incarnation, out);
+        // The registration may be outdated, and the runs may go on.
+        self.inherit(now, lease);
         self.executor = registered;
         if self.is_in_use() {
             self.phase = Phase::Polling;
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -131,6 +131,7 @@
         executors: Vec<Executor>,
         out: &mut Vec<Action>,
     ) {
+        let span = self.options.lease;
         self.known = executors.into_iter().map(|executor| (executor.id, executor)).collect();
         for lease in self.leases.values_mut() {
             let Some(executor) = self.known.get(&lease.executor.id) else {
@@ -139,7 +140,7 @@
             };
             match lease.compare(executor.incarnation) {
                 Age::Same => lease.executor = executor.clone(),
-                Age::Newer => lease.restart(now, executor.clone(), out),
+                Age::Newer => lease.restart(now, span, executor.clone(), out),
                 // The executor itself reported a later one already.
                 Age::Older => {}
             }
