A response from an executor's former address ends no run

Callers would see: failed, with executors that live, and the task twice at one time, where a registration shows another address for an executor while a poll to the former one is open. Cause: the 421 of the process at the former address was taken for the executor's. After a change of address the executor is polled before its next use now, and the outstanding response is ignored; 'gone' ends with the address that it was learnt at. Tests a_change_of_address_ends_no_run and ..._is_no_crash, found by the review: 2 starts and failed before. The tests now register another address at each step: the second step changed none, so that its 421 came from the registered address.

--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -60,6 +60,13 @@
         // The registration may be outdated, and the runs may go on.
         self.inherit(now, lease);
         self.executor = registered;
+        self.poll_before_use(now);
+    }
+
+    /// Drops what was learnt at a former address or from a former incarnation: the executor is
+    /// polled before its next use, and an outstanding response is ignored.
+    pub(super) fn poll_before_use(&mut self, now: Time) {
+        self.gone = false;
         if self.is_in_use() {
             self.phase = Phase::Polling;
             self.outstanding_poll = None;
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -139,7 +139,12 @@
                 continue;
             };
             match lease.compare(executor.incarnation) {
-                Age::Same => lease.executor = executor.clone(),
+                Age::Same => {
+                    if lease.executor.address != executor.address {
+                        lease.poll_before_use(now);
+                    }
+                    lease.executor = executor.clone();
+                }
                 Age::Newer => lease.restart(now, span, executor.clone(), out),
                 // The executor itself reported a later one already.
                 Age::Older => {}
--- a/components/runs/tests/mistaken_ends.rs
+++ b/components/runs/tests/mistaken_ends.rs
@@ -126,7 +126,9 @@
 /// The executors are registered at other addresses. The response to a poll that was sent before is
 /// that of the process at the former address.
 fn change_addresses(scene: &mut Scene, id: EndpointId) {
-    let address = ([127, 0, 0, 2], 1).into();
+    // Another address each time.
+    let port = (scene.now.0 / 1_000) as u16;
+    let address = ([127, 0, 0, 2], port).into();
     let moved = |name: &str| Executor { address, ..renamed(name) };
     scene.handle(Event::Executors(["i-0", "i-1", "i-2"].map(moved).to_vec()));
     scene.executor(id).process = Process::Replaced;
