A run that a former keeper started may have run

Callers would see: 503, not run, after a change of keepers, for a job with a task that had run or even completed. Cause: a transfer does not tell whether its runs were seen, so that one which was stopped and not listed, its end handled before or lost with its incarnation, counted as never started.

--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -42,8 +42,14 @@
         }
     }
 
+    /// Whether a run that is not listed may have run. Its end may have been lost with its
+    /// incarnation, or handled by a former keeper.
+    pub(super) fn may_have_run(&self, live: &TrackedRun) -> bool {
+        live.seen.is_some() || live.inherited || self.has_restarted_under(live)
+    }
+
     /// Whether a run was sent, and last confirmed, before the current incarnation was known.
-    pub(super) fn has_restarted_under(&self, live: &TrackedRun) -> bool {
+    fn has_restarted_under(&self, live: &TrackedRun) -> bool {
         live.seen.unwrap_or(live.sent) < self.incarnation_since
     }
 
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -114,6 +114,8 @@
     pub(crate) state: State,
     /// When the executor last listed or confirmed it.
     pub(crate) seen: Option<Time>,
+    /// Whether a former keeper started it, which may have seen it running or its end.
+    pub(crate) inherited: bool,
     /// Why it is being stopped.
     pub(crate) stop: Option<StopCause>,
     /// How it ends if its executor never lists it again: a crash if its incarnation is known to
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -200,10 +200,7 @@
         let Some(live) = lease.runs.get(run) else { return };
         match live.state {
             State::Running { since } if since < sent => self.end_missing(now, id, run, out),
-            // The end of a run that was stopped may have been lost with its incarnation.
-            State::Stopped { since }
-                if since < sent && (live.seen.is_some() || lease.has_restarted_under(live)) =>
-            {
+            State::Stopped { since } if since < sent && lease.may_have_run(live) => {
                 self.end_missing(now, id, run, out);
             }
             State::Stopped { since } if since < sent => {
@@ -380,6 +377,7 @@
             sent: now,
             state: State::Running { since: now },
             seen: Some(now),
+            inherited: true,
             stop: None,
             end_if_lost: End::ExecutorLost,
         }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -94,6 +94,7 @@
             sent: now,
             state: State::Starting,
             seen: None,
+            inherited: false,
             stop: None,
             end_if_lost: End::ExecutorLost,
         };
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -76,6 +76,7 @@
                 sent: Time(now.0.saturating_sub(inherited.running_for.0)),
                 state: State::Unconfirmed { since: now },
                 seen: None,
+                inherited: true,
                 stop: None,
                 end_if_lost: End::ExecutorLost,
             };
