A run that has ended is not given to the keeper of an earlier handover

Callers would see: no answer before the job is given up. Two handovers follow each other, and the message of the first arrives after the end of the run: the home took the task to be there and waited. Now a home keeps the number of the latest run that has ended.

--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -43,6 +43,8 @@
     pub(crate) state: TaskState,
     /// Number of its next run.
     pub(crate) run: u32,
+    /// Number of the latest run that is known to have ended.
+    pub(crate) ended: Option<u32>,
     pub(crate) failures: u16,
     /// Number of executors that crashed while they ran it.
     pub(crate) crashes: u16,
@@ -89,6 +91,7 @@
         let task = || OpenTask {
             state: TaskState::Pending { from: now },
             run: job.first_run,
+            ended: None,
             failures: 0,
             crashes: 0,
             executors_lost: 0,
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -160,6 +160,9 @@
             return Vec::new();
         }
         task.run = task.run.max(ended.run + 1);
+        if ended.end != End::Unsure {
+            task.ended = Some(ended.run);
+        }
         open.ran |= ended.end != End::NotRun;
         task.state = match ended.end {
             End::Done => TaskState::Done,
@@ -230,6 +233,8 @@
         let Some(task) = task else { return false };
         match task.state {
             TaskState::Done => false,
+            // The message of an earlier handover was overtaken by the end of the run.
+            TaskState::Pending { .. } if task.ended >= Some(moved.run) => false,
             // The next run has a keeper already, possibly this one.
             TaskState::Placed { keeper } if moved.run < task.run => keeper == to,
             // Later runs were placed already, so this run's number must not be used for the next
