Tell the homes of runs whose transfer came late who keeps them

Callers would see: no answer before the job is given up. A former keeper that did not run for longer than a transfer may take sends its runs after the new keeper has begun to use the executor, and forgets them; the new one ignored them, and the homes waited for the former. Now the new keeper takes the runs over: it tracks them, tells their homes, and its listings decide.

--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -58,28 +58,21 @@
         out: &mut Vec<Action>,
     ) -> Vec<Moved> {
         let Some(lease) = self.leases.get_mut(&transferred.executor) else { return Vec::new() };
-        if !matches!(lease.phase, Phase::Claiming { .. } | Phase::Polling) {
-            return Vec::new();
+        match lease.phase {
+            Phase::Claiming { .. } | Phase::Polling => {
+                lease.token = lease.token.max(view.token_above(transferred.token));
+                if lease.compare(transferred.incarnation) == Age::Same {
+                    lease.acknowledged = lease.acknowledged.max(transferred.acknowledged);
+                }
+                lease.inherit(now, self.options.lease);
+            }
+            // Too late to be of use for the executor, but the homes of its runs wait for a keeper.
+            Phase::Ready => {}
+            Phase::Settling { .. } | Phase::Fenced { .. } => return Vec::new(),
         }
-        lease.token = lease.token.max(view.token_above(transferred.token));
-        if lease.compare(transferred.incarnation) == Age::Same {
-            lease.acknowledged = lease.acknowledged.max(transferred.acknowledged);
-        }
-        lease.inherit(now, self.options.lease);
         let mut moved = Vec::new();
         for inherited in transferred.runs {
-            let live = TrackedRun {
-                task: Some(inherited.task),
-                needs: inherited.needs,
-                estimate: inherited.estimate,
-                give_up: now + inherited.give_up_in,
-                sent: Time(now.0.saturating_sub(inherited.running_for.0)),
-                state: State::Unconfirmed { since: now },
-                seen: None,
-                inherited: true,
-                stop: None,
-                end_if_lost: End::ExecutorLost,
-            };
+            let live = lease.inherited_run(now, &inherited);
             self.health.try_acquire(now, transferred.executor);
             moved.push(Moved { task: inherited.task, run: inherited.run.number });
             lease.insert(inherited.run, live);
@@ -125,6 +118,25 @@
     }
 }
 
+impl Lease {
+    /// A run of a former keeper. If the executor has listed it already, what is known of it stays.
+    fn inherited_run(&self, now: Time, run: &TransferredRun) -> TrackedRun {
+        let listed = self.runs.get(&run.run);
+        TrackedRun {
+            task: Some(run.task),
+            needs: run.needs,
+            estimate: run.estimate,
+            give_up: now + run.give_up_in,
+            sent: Time(now.0.saturating_sub(run.running_for.0)),
+            state: listed.map_or(State::Unconfirmed { since: now }, |live| live.state),
+            seen: listed.and_then(|live| live.seen),
+            inherited: true,
+            stop: listed.and_then(|live| live.stop),
+            end_if_lost: End::ExecutorLost,
+        }
+    }
+}
+
 /// The state of a run for its new keeper; `None` for a run whose task is unknown here.
 fn transferred(now: Time, run: &Run, live: &TrackedRun) -> Option<TransferredRun> {
     Some(TransferredRun {
