Wording after the review: names of ends, reasons and log fields

A start rejected by the next incarnation ends as 'rejected' in the log and is not a routine line, so that it can't be left out; task-ended counts crashes and otherwise_lost. A confirmation of a start resets the same fields as a listing.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -99,7 +99,7 @@
         /// Number of executors that crashed.
         executors: usize,
     },
-    /// Executors crashed, or were lost otherwise, while they ran one of its tasks.
+    /// Executors crashed, or were lost otherwise, under one of its tasks.
     #[display(
         "given up after it began: {executors} executors crashed or were lost under task {index}"
     )]
@@ -395,6 +395,7 @@
         }
         _ => match line.fields.get("how").and_then(|how| how.as_str()) {
             Some("unsent") => "was never sent to its executor",
+            Some("rejected") => "was rejected by the next incarnation of its executor",
             Some("refused") => "was refused by its executor",
             Some("missing") => "is no longer listed by its executor",
             Some("lease-over") => "was lost: the executor was silent until its lease was over",
--- a/components/runner/tests/decision_log.rs
+++ b/components/runner/tests/decision_log.rs
@@ -50,7 +50,7 @@
         end,
         failures: 0,
         crashes: 0,
-        executors_lost: 0,
+        otherwise_lost: 0,
         again,
     }
 }
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -184,8 +184,8 @@
         failures: u16,
         /// How many executors crashed under it.
         crashes: u16,
-        /// How many more were lost under it.
-        executors_lost: u16,
+        /// How many executors were lost otherwise under it.
+        otherwise_lost: u16,
         /// Whether another run follows.
         again: bool,
     },
@@ -281,6 +281,8 @@
     Unsent,
     /// The executor refused the start.
     Refused,
+    /// Another incarnation of the executor responded to the start.
+    Rejected,
     /// The executor lists neither the run nor its end.
     Missing,
     /// The executor did not respond until its lease must have expired.
@@ -317,8 +319,7 @@
     Failures,
     /// Several executors crashed while they ran one of its tasks.
     ExecutorsCrashed,
-    /// More executors were lost under one of its tasks, by a crash or otherwise, than it may put at
-    /// risk.
+    /// Too many executors crashed or were lost under one of its tasks.
     ExecutorsLost,
     /// It could not start in time.
     NoRoomInTime,
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -48,8 +48,8 @@
     pub(crate) failures: u16,
     /// Number of executors that crashed while they ran it.
     pub(crate) crashes: u16,
-    /// Number of other executors that were lost when it was sent to them, or ran there.
-    pub(crate) executors_lost: u16,
+    /// Number of executors that were lost otherwise after it was sent to them.
+    pub(crate) otherwise_lost: u16,
     /// Executors on which earlier runs failed or were lost.
     pub(crate) avoid: Vec<EndpointId>,
 }
@@ -78,7 +78,7 @@
             Some(Reason::ExecutorsCrashed)
         } else if self.failures >= max_failures {
             Some(Reason::Failures)
-        } else if self.crashes + self.executors_lost >= MAX_EXECUTORS_LOST {
+        } else if self.crashes + self.otherwise_lost >= MAX_EXECUTORS_LOST {
             Some(Reason::ExecutorsLost)
         } else {
             None
@@ -94,7 +94,7 @@
             ended: None,
             failures: 0,
             crashes: 0,
-            executors_lost: 0,
+            otherwise_lost: 0,
             avoid: Vec::new(),
         };
         let tasks = (0..job.tasks).map(|_| task()).collect();
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -174,7 +174,7 @@
         match ended.end {
             End::Failed => task.failures += 1,
             End::ExecutorCrashed => task.crashes += 1,
-            End::ExecutorLost => task.executors_lost += 1,
+            End::ExecutorLost => task.otherwise_lost += 1,
             End::Done | End::Lost | End::NotRun | End::Unsure => {}
         }
         if !matches!(ended.end, End::Done | End::NotRun) {
@@ -187,8 +187,8 @@
             };
         }
         let fatal = task.fatal(open.job.max_failures);
-        let (failures, crashes, executors_lost) =
-            (task.failures, task.crashes, task.executors_lost);
+        let (failures, crashes, otherwise_lost) =
+            (task.failures, task.crashes, task.otherwise_lost);
         let late = open.is_too_late(now) && open.ran;
         out.push(Action::Log(Decision::TaskEnded {
             job: open.job.name.clone(),
@@ -197,7 +197,7 @@
             end: ended.end,
             failures,
             crashes,
-            executors_lost,
+            otherwise_lost,
             again: fatal.is_none() && !late,
         }));
         match (fatal, late) {
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -28,7 +28,8 @@
     pub(crate) tries: u8,
     /// When this entry learnt of the executor's current incarnation.
     pub(crate) incarnation_since: Time,
-    /// Whether that incarnation has ended. The store may list it until its registration expires.
+    /// Whether the executor's incarnation has ended. The store may list it until its registration
+    /// expires.
     pub(crate) gone: bool,
     /// `None` until the executor has responded.
     pub(crate) clock: Option<Clock>,
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -383,7 +383,7 @@
         }
     }
 
-    fn confirm(&mut self, now: Time) {
+    pub(super) fn confirm(&mut self, now: Time) {
         self.seen = Some(now);
         self.end_if_lost = End::ExecutorLost;
         if matches!(self.state, State::Starting | State::Unconfirmed { .. }) {
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -131,10 +131,7 @@
                     let weight = START_TIME_WEIGHT;
                     self.usual_start_time =
                         Span((self.usual_start_time.0 * (weight - 1) + took) / weight);
-                    live.seen = Some(now);
-                    if matches!(live.state, State::Starting | State::Unconfirmed { .. }) {
-                        live.state = State::Running { since: now };
-                    }
+                    live.confirm(now);
                 }
                 if self.leases.get(&id).is_some_and(|lease| lease.gone) {
                     self.executor_gone(now, id, out);
@@ -201,12 +198,12 @@
         self.end_run(now, id, run, End::NotRun, Ending::Unsent, out);
     }
 
-    /// Another incarnation rejected the start, so this run never began. What else was on the
-    /// executor has ended.
+    /// Another incarnation rejected the start, so this run never began. Other runs there ended with
+    /// the incarnation that they were sent to.
     fn start_rejected(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
-        let has_begun = self.leases.get(&id).and_then(|lease| lease.runs.get(run));
-        if has_begun.is_some_and(|live| live.seen.is_none()) {
-            self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
+        let tracked = self.leases.get(&id).and_then(|lease| lease.runs.get(run));
+        if tracked.is_some_and(|live| live.seen.is_none()) {
+            self.end_run(now, id, run, End::NotRun, Ending::Rejected, out);
         }
         self.executor_gone(now, id, out);
     }
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -120,8 +120,8 @@
     /// It ended early at an executor that goes on: stopped, ended with the executor's lease, or no
     /// longer listed.
     Lost,
-    /// Its executor was unresponsive until the lease expired, or its incarnation ended, and the run
-    /// may have ended before that, or never have begun.
+    /// Its executor was unresponsive until the lease expired, or the executor's incarnation ended. It
+    /// can't be known whether it was running then.
     ExecutorLost,
     /// It never started.
     NotRun,
--- a/components/runs/tests/incarnations.rs
+++ b/components/runs/tests/incarnations.rs
@@ -115,7 +115,7 @@
 }
 
 #[test]
-fn a_task_under_which_two_executors_crashed_is_given_up() {
+fn a_job_fails_when_two_executors_crashed_under_one_of_its_tasks() {
     let mut scene = Scene::new(vec![named("i-1"), named("i-2"), named("i-3"), named("i-4")]);
     scene.submit();
     for _ in 0..4 {
