--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -174,12 +174,14 @@
             why,
         }));
         match why {
-            Refusal::Room | Refusal::Late | Refusal::Unhealthy | Refusal::Invalid => {
+            Refusal::Room | Refusal::Late | Refusal::Unhealthy => {
                 lease.no_start_before = now + START_PAUSE;
                 lease.poll_at.get_or_insert(now);
             }
             Refusal::Fenced => return self.fenced(now, id, out),
             Refusal::OldRun => return self.old_run(now, id, run, out),
+            // It is the task that is at fault; other tasks can start there.
+            Refusal::Invalid => {}
         }
         self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
     }
