--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -160,6 +160,9 @@
             return Vec::new();
         }
         task.run = task.run.max(ended.run + 1);
+        if ended.end != End::Unsure {
+            task.ended = Some(ended.run);
+        }
         open.ran |= ended.end != End::NotRun;
         task.state = match ended.end {
             End::Done => TaskState::Done,
@@ -171,7 +174,7 @@
         match ended.end {
             End::Failed => task.failures += 1,
             End::ExecutorCrashed => task.crashes += 1,
-            End::ExecutorLost => task.executors_lost += 1,
+            End::ExecutorLost => task.otherwise_lost += 1,
             End::Done | End::Lost | End::NotRun | End::Unsure => {}
         }
         if !matches!(ended.end, End::Done | End::NotRun) {
@@ -184,8 +187,8 @@
             };
         }
         let fatal = task.fatal(open.job.max_failures);
-        let (failures, crashes, executors_lost) =
-            (task.failures, task.crashes, task.executors_lost);
+        let (failures, crashes, otherwise_lost) =
+            (task.failures, task.crashes, task.otherwise_lost);
         let late = open.is_too_late(now) && open.ran;
         out.push(Action::Log(Decision::TaskEnded {
             job: open.job.name.clone(),
@@ -194,7 +197,7 @@
             end: ended.end,
             failures,
             crashes,
-            executors_lost,
+            otherwise_lost,
             again: fatal.is_none() && !late,
         }));
         match (fatal, late) {
@@ -230,6 +233,8 @@
         let Some(task) = task else { return false };
         match task.state {
             TaskState::Done => false,
+            // The message of an earlier handover was overtaken by the end of the run.
+            TaskState::Pending { .. } if task.ended >= Some(moved.run) => false,
             // The next run has a keeper already, possibly this one.
             TaskState::Placed { keeper } if moved.run < task.run => keeper == to,
             // Later runs were placed already, so this run's number must not be used for the next
--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -12,7 +12,10 @@
     job::Run,
     message::End,
 };
-use site::{id::EndpointId, unit::Time};
+use site::{
+    id::EndpointId,
+    unit::{Span, Time},
+};
 use std::cmp::Ordering;
 
 /// How a reported incarnation compares with the known one.
@@ -39,16 +42,37 @@
         }
     }
 
+    /// Whether a run that is not listed may have run. Its end may have been lost with its
+    /// incarnation, or handled by a former keeper.
+    pub(super) fn may_have_run(&self, live: &TrackedRun) -> bool {
+        live.seen.is_some() || live.inherited || self.has_restarted_under(live)
+    }
+
     /// Whether a run was sent, and last confirmed, before the current incarnation was known.
-    pub(super) fn has_restarted_under(&self, live: &TrackedRun) -> bool {
+    fn has_restarted_under(&self, live: &TrackedRun) -> bool {
         live.seen.unwrap_or(live.sent) < self.incarnation_since
     }
 
     /// Applies a registration that shows a new incarnation: the executor is polled before its next
     /// use, and its listing decides about earlier runs.
-    pub(super) fn restart(&mut self, now: Time, registered: Executor, out: &mut Vec<Action>) {
+    pub(super) fn restart(
+        &mut self,
+        now: Time,
+        lease: Span,
+        registered: Executor,
+        out: &mut Vec<Action>,
+    ) {
         self.begin_incarnation(now, registered.incarnation, out);
+        // The registration may be outdated, and the runs may go on.
+        self.inherit(now, lease);
         self.executor = registered;
+        self.poll_before_use(now);
+    }
+
+    /// Drops what was learnt at a former address or from a former incarnation: the executor is
+    /// polled before its next use, and an outstanding response is ignored.
+    pub(super) fn poll_before_use(&mut self, now: Time) {
+        self.gone = false;
         if self.is_in_use() {
             self.phase = Phase::Polling;
             self.outstanding_poll = None;
@@ -57,7 +81,7 @@
     }
 
     /// Records a new incarnation. Resets `gone`, the clock, the lease deadline, the numbers of handled
-    /// ends, the missed polls and `full_until`. The token, `tries`, `inherited_until`, slowness,
+    /// ends, the missed polls and `no_start_before`. The token, `tries`, `inherited_until`, slowness,
     /// health, `last_completed` and the runs stay: the next listing decides about the runs.
     fn begin_incarnation(
         &mut self,
@@ -65,7 +89,7 @@
         incarnation: Option<Incarnation>,
         out: &mut Vec<Action>,
     ) {
-        let ends: Vec<_> = self.runs.values().map(|live| self.loss(now, live)).collect();
+        let ends: Vec<_> = self.runs.values().map(|live| self.end_if_gone(now, live)).collect();
         for (live, end) in self.runs.values_mut().zip(ends) {
             live.end_if_lost = end;
         }
@@ -77,7 +101,7 @@
         self.acknowledged = 0;
         self.confirmed = 0;
         self.missed_polls = 0;
-        self.full_until = Time(0);
+        self.no_start_before = Time(0);
         log_keep(self, KeepChange::Reborn, out);
     }
 }
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -28,7 +28,8 @@
     pub(crate) tries: u8,
     /// When this entry learnt of the executor's current incarnation.
     pub(crate) incarnation_since: Time,
-    /// Whether that incarnation has ended. The store may list it until its registration expires.
+    /// Whether the executor's incarnation has ended. The store may list it until its registration
+    /// expires.
     pub(crate) gone: bool,
     /// `None` until the executor has responded.
     pub(crate) clock: Option<Clock>,
@@ -54,9 +55,8 @@
     pub(crate) missed_polls: u32,
     /// Entries that were sent an executor claim and have not answered.
     pub(crate) claim_recipients: Vec<Home>,
-    /// No start before this time: the executor refused one for lack of room, or one could not be
-    /// sent.
-    pub(crate) full_until: Time,
+    /// No start before this time: the executor refused one, or one could not be sent.
+    pub(crate) no_start_before: Time,
     /// Whether it starts every task that it is ordered to, so that its capacity has to be enforced
     /// here.
     pub(crate) overcommits: bool,
@@ -115,6 +115,8 @@
     pub(crate) state: State,
     /// When the executor last listed or confirmed it.
     pub(crate) seen: Option<Time>,
+    /// Whether a former keeper started it, which may have seen it running or its end.
+    pub(crate) inherited: bool,
     /// Why it is being stopped.
     pub(crate) stop: Option<StopCause>,
     /// How it ends if its executor never lists it again: a crash if its incarnation is known to
@@ -172,7 +174,7 @@
             poll_at: None,
             missed_polls: 0,
             claim_recipients: Vec::new(),
-            full_until: Time(0),
+            no_start_before: Time(0),
             overcommits: false,
             slowness: 1.0,
             last_completed: Time(0),
@@ -194,7 +196,7 @@
             && !self.executor.leaving
             && !self.gone
             && self.missed_polls == 0
-            && self.full_until <= now
+            && self.no_start_before <= now
             && self.knows_clock(now)
             && !(self.overcommits && self.has_unknown_runs())
     }
@@ -231,15 +233,15 @@
 
     /// How a run ended whose incarnation is found to have ended at `now`. It was a crash under the
     /// run only if the executor had confirmed the run, and neither a stop, a planned leave nor the
-    /// end of its lease can have ended it before.
-    pub(crate) fn loss(&self, now: Time, live: &TrackedRun) -> End {
-        let was_running = live.seen.is_some()
-            && !live.is_being_stopped()
-            && !self.executor.leaving
-            && !self.has_expired(now);
-        match was_running {
-            true => End::ExecutorCrashed,
-            false => End::ExecutorLost,
+    /// end of its lease can have ended it before. A run that was never confirmed is not suspected of
+    /// having crashed an executor that was replaced within the lease.
+    pub(crate) fn end_if_gone(&self, now: Time, live: &TrackedRun) -> End {
+        let may_have_ended =
+            live.is_being_stopped() || self.executor.leaving || self.has_expired(now);
+        match (live.seen.is_some(), may_have_ended) {
+            (true, false) => End::ExecutorCrashed,
+            (false, false) => End::Lost,
+            (_, true) => End::ExecutorLost,
         }
     }
 
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -200,10 +200,7 @@
         let Some(live) = lease.runs.get(run) else { return };
         match live.state {
             State::Running { since } if since < sent => self.end_missing(now, id, run, out),
-            // The end of a run that was stopped may have been lost with its incarnation.
-            State::Stopped { since }
-                if since < sent && (live.seen.is_some() || lease.has_restarted_under(live)) =>
-            {
+            State::Stopped { since } if since < sent && lease.may_have_run(live) => {
                 self.end_missing(now, id, run, out);
             }
             State::Stopped { since } if since < sent => {
@@ -322,7 +319,7 @@
             .runs
             .iter()
             .filter(|(_, live)| live.state != State::Starting)
-            .map(|(run, live)| (run.clone(), lease.loss(now, live)))
+            .map(|(run, live)| (run.clone(), lease.end_if_gone(now, live)))
             .collect();
         for (run, end) in runs {
             self.end_run(now, id, &run, end, Ending::ExecutorGone, out);
@@ -380,12 +377,13 @@
             sent: now,
             state: State::Running { since: now },
             seen: Some(now),
+            inherited: true,
             stop: None,
             end_if_lost: End::ExecutorLost,
         }
     }
 
-    fn confirm(&mut self, now: Time) {
+    pub(super) fn confirm(&mut self, now: Time) {
         self.seen = Some(now);
         self.end_if_lost = End::ExecutorLost;
         if matches!(self.state, State::Starting | State::Unconfirmed { .. }) {
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -14,9 +14,9 @@
 };
 use std::cmp::Reverse;
 
-/// How long an executor that refused a start for lack of room, or could not be sent one, gets no
-/// other. About the time until its next listing, which shows what occupies it.
-const FULL_PAUSE: Span = Span::from_millis(100);
+/// How long an executor that refused a start, or could not be sent one, gets no other. About the
+/// time until its next listing, which shows what occupies it.
+const START_PAUSE: Span = Span::from_millis(100);
 
 /// Added to the run number when the executor knows a higher one.
 const OLD_RUN_STEP: u32 = 50;
@@ -94,6 +94,7 @@
             sent: now,
             state: State::Starting,
             seen: None,
+            inherited: false,
             stop: None,
             end_if_lost: End::ExecutorLost,
         };
@@ -130,10 +131,7 @@
                     let weight = START_TIME_WEIGHT;
                     self.usual_start_time =
                         Span((self.usual_start_time.0 * (weight - 1) + took) / weight);
-                    live.seen = Some(now);
-                    if matches!(live.state, State::Starting | State::Unconfirmed { .. }) {
-                        live.state = State::Running { since: now };
-                    }
+                    live.confirm(now);
                 }
                 if self.leases.get(&id).is_some_and(|lease| lease.gone) {
                     self.executor_gone(now, id, out);
@@ -176,13 +174,14 @@
             why,
         }));
         match why {
-            Refusal::Room | Refusal::Late => {
-                lease.full_until = now + FULL_PAUSE;
+            Refusal::Room | Refusal::Late | Refusal::Unhealthy => {
+                lease.no_start_before = now + START_PAUSE;
                 lease.poll_at.get_or_insert(now);
             }
             Refusal::Fenced => return self.fenced(now, id, out),
             Refusal::OldRun => return self.old_run(now, id, run, out),
-            Refusal::Unhealthy | Refusal::Invalid => {}
+            // It is the task that is at fault; other tasks can start there.
+            Refusal::Invalid => {}
         }
         self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
     }
@@ -191,7 +190,7 @@
     /// would send the task there again at once.
     fn start_unsent(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
         if let Some(lease) = self.leases.get_mut(&id) {
-            lease.full_until = now + FULL_PAUSE;
+            lease.no_start_before = now + START_PAUSE;
             // An outstanding poll shows whether it responds.
             if lease.outstanding_poll.is_none() {
                 lease.missed_polls += 1;
@@ -201,21 +200,21 @@
         self.end_run(now, id, run, End::NotRun, Ending::Unsent, out);
     }
 
-    /// Another incarnation rejected the start, so this run never began. What else was on the
-    /// executor has ended.
+    /// Another incarnation rejected the start, so this run never began. Other runs there ended with
+    /// the incarnation that they were sent to.
     fn start_rejected(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
-        let has_begun = self.leases.get(&id).and_then(|lease| lease.runs.get(run));
-        if has_begun.is_some_and(|live| live.seen.is_none()) {
-            self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
+        let tracked = self.leases.get(&id).and_then(|lease| lease.runs.get(run));
+        if tracked.is_some_and(|live| live.seen.is_none()) {
+            self.end_run(now, id, run, End::NotRun, Ending::Rejected, out);
         }
         self.executor_gone(now, id, out);
     }
 
     /// A run of the task with a higher number was there: its caller's earlier submission reached
-    /// another entry.
+    /// another entry. So the task has run, or may have.
     fn old_run(&mut self, now: Time, id: EndpointId, run: &Run, out: &mut Vec<Action>) {
         let before = self.ends.len();
-        self.end_run(now, id, run, End::NotRun, Ending::Refused, out);
+        self.end_run(now, id, run, End::Lost, Ending::Refused, out);
         if let Some(ended) = self.ends.get_mut(before) {
             ended.run += OLD_RUN_STEP;
         }
