Executors have a kind, and their speed has a place in the keeper

Cause: the speed of an executor is learnt by executor alone, so that a new name or a new keeper starts without it. No behaviour changes.

--- a/components/runner/tests/engine.rs
+++ b/components/runner/tests/engine.rs
@@ -96,6 +96,7 @@
             memory: Memory(8 << 30),
             ..Resources::default()
         },
+        kind: None,
         labels: labels.iter().map(|label| (*label).into()).collect(),
         leaving: false,
     }
--- a/components/runs/src/executor.rs
+++ b/components/runs/src/executor.rs
@@ -29,6 +29,14 @@
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
+/// The kind of machine that an executor runs on. Executors of one kind are expected to be equally
+/// fast.
+#[derive(
+    Clone, Debug, Display, Eq, FromStr, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Kind(pub CompactString);
+
 /// An executor. After a crash it returns under another name, or under the same name with another
 /// incarnation.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,6 +55,8 @@
     pub service: ServiceId,
     /// The resources that its tasks may use in total.
     pub capacity: Resources,
+    /// The kind of its machine; `None` if the platform does not tell.
+    pub kind: Option<Kind>,
     /// Labels that jobs can require.
     pub labels: Vec<CompactString>,
     /// Whether it is stopping and must get no new work.
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -21,6 +21,7 @@
     executor::Service,
     job::Run,
     message::{self, End, Placement},
+    speed::Speeds,
     view::View,
 };
 use health::Monitor;
@@ -51,6 +52,7 @@
     leases: FxHashMap<EndpointId, Lease>,
     queue: Queue,
     health: Monitor,
+    speeds: Speeds,
     /// Moving average of the resources that a task needs.
     usual_needs: Resources,
     /// Moving average of the time from a start to its response.
@@ -73,6 +75,7 @@
             leases: FxHashMap::default(),
             queue: Queue::default(),
             health: Monitor::new(),
+            speeds: Speeds::default(),
             usual_needs: Resources::SLOT,
             usual_start_time: Span::ZERO,
             usual_run_time: Span::ZERO,
@@ -323,7 +326,9 @@
             }));
         }
         if end == End::Done {
-            self.update_usual_run_time(now.since(live.sent));
+            let elapsed = now.since(live.sent);
+            self.speeds.observe(&lease.executor, elapsed, live.estimate);
+            self.update_usual_run_time(elapsed);
         }
         self.report_health(now, id, &live, end, how, out);
         let Some(task) = live.task else { return };
--- a/components/runs/src/lib.rs
+++ b/components/runs/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod options;
 mod outdated;
 mod reports;
+pub mod speed;
 mod view;
 mod watch;
 
--- a/components/runs/tests/common/fixture.rs
+++ b/components/runs/tests/common/fixture.rs
@@ -20,6 +20,7 @@
         data_centre: DataCentreId(1),
         service: ServiceId::of("service"),
         capacity: Resources { slots: Slots(8), cores: Cores(64_000), ..Resources::default() },
+        kind: None,
         labels: Vec::new(),
         leaving: false,
     }
--- a/lab/src/simulation/layout.rs
+++ b/lab/src/simulation/layout.rs
@@ -53,6 +53,7 @@
         data_centre: DataCentreId(plan.data_centre_of_executor(index) as u64),
         service: service(),
         capacity: capacity(plan, index),
+        kind: None,
         labels: Vec::new(),
         leaving: false,
     }
