--- a/lab/src/pattern/draw.rs
+++ b/lab/src/pattern/draw.rs
@@ -29,6 +29,7 @@
             zones: self.zones.clone(),
             data_centres: self.zones.len(),
             cores: self.cores.clone(),
+            machines: self.machines.clone(),
             arrivals: Some(self.arrivals(seed).into()),
             seconds: self.seconds,
             lost_orders: self.lost_orders,
@@ -91,8 +92,16 @@
         let mean_us = kind.task_ms.draw(random) * 1_000.0;
         let mut deviation = |part: f64| 1.0 + part * random.random_range(-1.0..=1.0);
         let estimate = Span((mean_us * deviation(kind.estimate_off)) as u64);
-        let lengths: Vec<_> =
+        let mut lengths: Vec<_> =
             (0..tasks).map(|_| Span((mean_us * deviation(kind.uneven)) as u64)).collect();
+        if let Some(tail) = kind.tail {
+            let long = |length: Span| Span((length.0 as f64 * tail.factor) as u64);
+            for length in &mut lengths {
+                if random.random_bool(tail.share) {
+                    *length = long(*length);
+                }
+            }
+        }
         let longest = lengths.iter().max().copied().unwrap_or_default();
         let cores = Cores(kind.cores.draw(random) as u32);
         let due = self.objective(estimate);
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -5,7 +5,7 @@
 
 pub use spread::Spread;
 
-use crate::simulation::{DataCentre, Fault};
+use crate::simulation::{DataCentre, Fault, Machine};
 use derive_more::{Display, Error};
 use runs::Options;
 use serde::{Deserialize, Serialize};
@@ -22,6 +22,9 @@
     pub zones: Vec<DataCentre>,
     /// Cores of the executors in thousandths, repeated in this order.
     pub cores: Vec<u32>,
+    /// Machines of the executors, repeated in this order; if absent, all are alike.
+    #[serde(default)]
+    pub machines: Vec<Machine>,
     /// For how long jobs arrive, in seconds.
     pub seconds: u64,
     /// Factor on the rates of all `kinds`.
@@ -68,11 +71,24 @@
     pub estimate_off: f64,
     /// Largest relative deviation of a task's run time, in either direction; from 0 to below 1.
     pub uneven: f64,
+    /// Tasks that take several times as long; `None` if there are none.
+    #[serde(default)]
+    pub tail: Option<Tail>,
     /// Priority; 0 is the most urgent.
     #[serde(default)]
     pub priority: u8,
 }
 
+/// Tasks that take several times as long as their caller estimates.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tail {
+    /// Share of the tasks; from 0 to 1.
+    pub share: f64,
+    /// Factor on their run time.
+    pub factor: f64,
+}
+
 /// A sine wave on the rates.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -165,6 +181,13 @@
         if entries == 0 || executors == 0 {
             return wrong("zones", "must contain at least one entry and one executor");
         }
+        if self.machines.iter().any(|machine| machine.run_time_percent == 0) {
+            return wrong("machines", "run_time_percent must be above 0");
+        }
+        let is_valid = |tail: &Tail| (0.0..=1.0).contains(&tail.share) && tail.factor >= 1.0;
+        if !self.kinds.iter().all(|kind| kind.tail.as_ref().is_none_or(is_valid)) {
+            return wrong("kinds", "tail: share must be from 0 to 1, factor 1 or above");
+        }
         if self.cores.is_empty() || self.cores.contains(&0) {
             return wrong("cores", "must be present and above 0");
         }
--- a/lab/src/simulation/layout.rs
+++ b/lab/src/simulation/layout.rs
@@ -53,7 +53,7 @@
         data_centre: DataCentreId(plan.data_centre_of_executor(index) as u64),
         service: service(),
         capacity: capacity(plan, index),
-        kind: None,
+        kind: plan.machine(index).map(|machine| machine.kind.clone()),
         labels: Vec::new(),
         leaving: false,
     }
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -13,7 +13,7 @@
 
 pub use arrival::{Arrival, Outcome, Record};
 pub use layout::service;
-pub use plan::{DataCentre, Fault, Plan};
+pub use plan::{DataCentre, Fault, Machine, Plan};
 
 use compact_str::CompactString;
 use layout::{capacity, executor, home};
--- a/lab/src/simulation/orders.rs
+++ b/lab/src/simulation/orders.rs
@@ -64,7 +64,7 @@
         let now = self.now;
         match order {
             Order::Start(start) => {
-                let (length, needs) = self.load(&start.run);
+                let (length, needs) = self.load(slot, &start.run);
                 let before = self.slots[slot].fake.running.contains_key(&start.run);
                 let reply = self.slots[slot].fake.start(now, start, needs, length);
                 if matches!(reply, StartResponse::Running { .. }) && !before {
@@ -97,11 +97,12 @@
         self.after(us, Step::HandleEvent(node, incarnation, event));
     }
 
-    /// Returns how long a task takes in microseconds, equal for each run, and its needs.
-    fn load(&self, run: &Run) -> (u64, Resources) {
+    /// Returns how long a task takes on an executor in microseconds, and its needs.
+    fn load(&self, slot: usize, run: &Run) -> (u64, Resources) {
         let Some(work) = self.works.get(&run.job) else { return (0, Resources::default()) };
         let length = work.lengths.get(usize::from(run.index)).copied().unwrap_or_default();
-        (length.0, work.needs)
+        let percent = self.plan.machine(slot).map_or(100, |machine| machine.run_time_percent);
+        (length.0 * percent / 100, work.needs)
     }
 
     pub(super) fn check_start(&mut self, slot: usize, run: &Run) {
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -1,7 +1,7 @@
 //! Plan of a simulation: its site, jobs and faults.
 
 use super::Arrival;
-use runs::Options;
+use runs::{Options, executor::Kind};
 use serde::{Deserialize, Serialize};
 use site::unit::Cores;
 use std::sync::Arc;
@@ -26,6 +26,9 @@
     pub zones: Vec<DataCentre>,
     /// Cores of the executors in thousandths, repeated in this order.
     pub cores: Vec<u32>,
+    /// The machines of the executors, repeated in this order; if empty, all are alike and without a
+    /// kind.
+    pub machines: Vec<Machine>,
     /// Generated jobs per second; without effect where `arrivals` are given.
     pub rate: u64,
     /// The jobs in order of their arrival; `None` for `rate` generated jobs per second.
@@ -57,6 +60,16 @@
     pub large: usize,
 }
 
+/// The machine of an executor.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    /// Its kind, as the executor reports it.
+    pub kind: Kind,
+    /// Time that a task takes there, in percent of its length.
+    pub run_time_percent: u64,
+}
+
 /// A fault of the site.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
@@ -144,6 +157,7 @@
             executors: 1,
             zones: Vec::new(),
             cores: vec![64_000, 64_000, 96_000],
+            machines: Vec::new(),
             rate: 1,
             arrivals: None,
             seconds: 1,
@@ -156,6 +170,11 @@
 }
 
 impl Plan {
+    /// Returns the machine of an executor; `None` if all are alike.
+    pub(super) fn machine(&self, executor: usize) -> Option<&Machine> {
+        self.machines.get(executor % self.machines.len().max(1))
+    }
+
     /// Returns the number of entries.
     pub fn entry_count(&self) -> usize {
         match &self.zones[..] {
