Speed of executors is learnt by kind of machine

Cause: an executor with a new name, incarnation or keeper counted as of usual speed until 15 runs, and ratios to the estimate of short tasks showed the time for order and listing rather than the executor. Change: runs::speed fits run time = fixed part + factor x estimate, with a factor for each kind and robust weights, and a deviation for single executors. Reports carry kinds, factors and weights to each peer once per change. Settings speed_by_kind and speed_ratio_percent, log line speed, metric executor_speed_percent. The choice of executors does not use the factors yet.

--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -114,6 +114,7 @@
         | Decision::Members { .. }
         | Decision::Follow { .. }
         | Decision::Cordon { .. }
+        | Decision::Speed { .. }
         | Decision::Paused { .. } => false,
     }
 }
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -29,6 +29,7 @@
     response: Histogram<f64>,
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
+    speeds: Gauge<u64>,
 }
 
 impl Metrics {
@@ -61,6 +62,10 @@
                 .f64_gauge("cordons_changed_timestamp_seconds")
                 .with_description("When this process last learnt of a change of the cordon")
                 .build(),
+            speeds: meter
+                .u64_gauge("executor_speed_percent")
+                .with_description("Run time on executors of a kind, in percent of the estimate")
+                .build(),
             exporter,
         })
     }
@@ -86,6 +91,10 @@
                 self.cordons.record(data_centres.len() as u64, &[]);
                 self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
             }
+            Decision::Speed { kind, factor, .. } => {
+                let kind = KeyValue::new("kind", kind.to_string());
+                self.speeds.record(u64::from(factor.0), &[kind]);
+            }
             _ => {}
         }
     }
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -3,9 +3,10 @@
 use crate::{
     Message,
     clock::RemoteTime,
-    executor::{Refusal, RunResult},
+    executor::{Kind, Refusal, RunResult},
     job::{Answer, Run},
     message::End,
+    speed::Factor,
 };
 use compact_str::CompactString;
 use serde::{Serialize, Serializer};
@@ -260,6 +261,19 @@
         /// Where the change was learnt from.
         source: Source,
     },
+    /// The factor in use for a kind of executors changed.
+    Speed {
+        /// The kind.
+        kind: Kind,
+        /// How long its executors take, in percent of the estimate.
+        factor: Factor,
+        /// Number of runs measured here; 0 if the factor is from other entries.
+        runs: u16,
+        /// The part of a run time that does not depend on the estimate, as measured here.
+        fixed: Span,
+        /// Whether kinds differ enough for the choice of executors.
+        uneven: bool,
+    },
     /// The process did not run for a while, for example because its VM was suspended.
     Paused {
         /// How long it did not run.
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -243,7 +243,7 @@
         self.jobs.peers.connect(peer);
         self.last_contact.insert(peer, now);
         let report = self.report(now);
-        out.push(Action::Send { to: peer, message: Message::Report(report) });
+        out.push(self.report_to(peer, &report));
         let changed = self.view.connect(peer);
         self.view_changed(now, changed, out);
     }
@@ -258,6 +258,7 @@
         self.jobs.keeper_lost(now, peer);
         self.keeper.home_lost(now, peer, out);
         self.keeper.peer_lost(now, peer, out);
+        self.keeper.speeds.forget(peer);
         let changed = self.view.disconnect(peer);
         self.view_changed(now, changed, out);
     }
@@ -366,6 +367,7 @@
             configuration: self.configuration,
             cordon: self.keeper.cordon().clone(),
             revision: self.view.revision(),
+            kinds: Vec::new(),
         }
     }
 
@@ -391,16 +393,21 @@
             &recipients,
             &self.options,
         );
-        out.extend(due.into_iter().map(|to| report_to(to, &report)));
+        out.extend(due.into_iter().map(|to| self.report_to(to, &report)));
     }
 
     /// Handles a peer's report. A peer that begins to have pending tasks gets a report of the room
     /// here at once.
-    fn handle_report(&mut self, now: Time, from: Home, report: Report, out: &mut Vec<Action>) {
+    fn handle_report(&mut self, now: Time, from: Home, mut report: Report, out: &mut Vec<Action>) {
         self.clocks.entry(from).or_default().age(now, report.sent);
         self.view.observe_revision(report.revision);
         let changed = self.view.set_leaving(from, report.leaving);
         self.view.set_idle(from, report.idle);
+        let kinds = std::mem::take(&mut report.kinds);
+        // A late message of a disconnected peer would otherwise count until this process ends.
+        if !kinds.is_empty() && self.view.connected().any(|peer| peer == from) {
+            self.keeper.speeds.hear(from, kinds);
+        }
         self.set_cordon(now, report.cordon.clone(), Source::Peer, out);
         let is_cordoned = report.cordoned;
         let gains_work = self.jobs.peers.report(now, from, report);
@@ -408,12 +415,15 @@
             self.reject_cordoned(now, out);
         }
         if gains_work && !self.keeper.room(now).is_empty() {
-            out.push(report_to(from, &self.report(now)));
+            let report = self.report(now);
+            out.push(self.report_to(from, &report));
         }
         self.view_changed(now, changed, out);
     }
-}
 
-fn report_to(to: Home, report: &Report) -> Action {
-    Action::Send { to, message: Message::Report(report.clone()) }
+    /// A report to one peer, with the speeds of kinds that it does not know yet.
+    fn report_to(&mut self, to: Home, report: &Report) -> Action {
+        let kinds = self.keeper.speeds.take_unsent(to);
+        Action::Send { to, message: Message::Report(Report { kinds, ..report.clone() }) }
+    }
 }
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -52,7 +52,7 @@
     leases: FxHashMap<EndpointId, Lease>,
     queue: Queue,
     health: Monitor,
-    speeds: Speeds,
+    pub(crate) speeds: Speeds,
     /// Moving average of the resources that a task needs.
     usual_needs: Resources,
     /// Moving average of the time from a start to its response.
@@ -75,7 +75,7 @@
             leases: FxHashMap::default(),
             queue: Queue::default(),
             health: Monitor::new(),
-            speeds: Speeds::default(),
+            speeds: Speeds::new(&options),
             usual_needs: Resources::SLOT,
             usual_start_time: Span::ZERO,
             usual_run_time: Span::ZERO,
@@ -265,6 +265,7 @@
         for (id, change) in changes {
             self.record_health(id, change, out);
         }
+        out.extend(self.speeds.refresh(now).into_iter().map(Action::Log));
         let ids: Vec<_> = self.leases.keys().copied().collect();
         let mut claims = Vec::new();
         for id in ids {
@@ -327,7 +328,10 @@
         }
         if end == End::Done {
             let elapsed = now.since(live.sent);
-            self.speeds.observe(&lease.executor, elapsed, live.estimate);
+            // A former keeper measured the first part of an inherited run, and nobody the transfer.
+            if !live.inherited {
+                self.speeds.observe(now, &lease.executor, elapsed, live.estimate);
+            }
             self.update_usual_run_time(elapsed);
         }
         self.report_health(now, id, &live, end, how, out);
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -6,6 +6,7 @@
     executor::Incarnation,
     job::{Run, Task},
     load::{Load, Summary},
+    speed::Measure,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -158,6 +159,9 @@
     pub cordon: Cordon,
     /// The latest revision of the platform's store that it has seen.
     pub revision: Revision,
+    /// Speeds of kinds of executors; empty if they are unchanged since the last report to the
+    /// receiver.
+    pub kinds: Vec<Measure>,
 }
 
 impl Report {
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -93,6 +93,12 @@
     /// The assumed duration of a task for its latest start, in percent of its estimate. Estimates
     /// are off by up to 40%, and some executors are slower.
     pub caution_percent: u64,
+    /// Whether the speed of executors is learnt by the kind of their machines. Otherwise all kinds
+    /// count as equally fast.
+    pub speed_by_kind: bool,
+    /// Kinds count as unevenly fast if the executors of one take this many percent of the time that
+    /// those of another take. Smaller differences change nothing.
+    pub speed_ratio_percent: u64,
     /// Whether jobs are spread over the keepers of a data centre that have room to spare. Otherwise
     /// all entries send theirs to the keeper with the most room until its next report.
     pub spread: bool,
@@ -218,6 +224,8 @@
             queue_hold: Span::from_millis(10),
             patience_percent: 90,
             caution_percent: 140,
+            speed_by_kind: true,
+            speed_ratio_percent: 150,
             spread: true,
             begun_first: true,
             admission: true,
--- /dev/null
+++ b/components/runs/src/speed/mod.rs
@@ -0,0 +1,347 @@
+//! How long executors take for a task, relative to the caller's estimate.
+//!
+//! A run takes a fixed part, for the order, the start and the listing of its end, and a factor times
+//! its estimate. Factors are learnt by kind of machine and exchanged between entries, so that an
+//! executor with a new name, incarnation or keeper has one from its first task. A single executor
+//! may deviate from its kind.
+
+mod fit;
+mod heard;
+mod single;
+
+use crate::{Executor, Options, action::Decision, executor::Kind};
+use derive_more::{Display, FromStr};
+use fit::{ENOUGH_RUNS, Fit, MAX_FACTOR, MAX_KINDS, MIN_FACTOR};
+use heard::{Heard, MAX_NAME, MAX_WEIGHT};
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+use single::Single;
+use site::{
+    id::{EndpointId, Home},
+    unit::{Span, Time},
+};
+use std::collections::BTreeMap;
+
+/// Interval at which the model is fitted to new runs.
+const FIT_INTERVAL: Span = Span::from_millis(200);
+
+/// Change, in octaves, from which a kind's factor is published anew: 8%. Beyond the usual variation
+/// of a settled fit, so that reports and choices don't change with it.
+const PUBLISHED_STEP: f64 = 0.14;
+
+/// Part of the ratio beyond 1 at which kinds begin to count as uneven, below which they no longer
+/// do.
+const STAYS_UNEVEN: f64 = 0.75;
+
+/// Divisor of the moving average of the spread: the inverse of the weight of one run.
+const SPREAD_WEIGHT: f32 = 256.0;
+
+/// The assumed spread of runs before any is measured, in octaves. That of estimates which are off by
+/// up to 40%.
+const ASSUMED_SPREAD: f32 = 0.4;
+
+/// Limit, in octaves, of what one run adds to the spread. Tasks that are long whatever the executor
+/// would otherwise determine it.
+const MAX_SPREAD: f32 = 1.0;
+
+/// Ratio of the standard deviation to the mean deviation, for a normal distribution.
+const DEVIATION_RATIO: f32 = 1.25;
+
+/// Run time of a task on an executor, in percent of the caller's estimate.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Eq,
+    FromStr,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Factor(pub u16);
+
+impl Factor {
+    /// A task takes as long as its caller estimates.
+    pub const ONE: Self = Self(100);
+
+    /// The run time of a task that is estimated at `estimate`.
+    pub fn run_time(self, estimate: Span) -> Span {
+        Span(estimate.0.saturating_mul(u64::from(self.0)) / 100)
+    }
+
+    fn from_ratio(ratio: f64) -> Self {
+        Self((ratio.clamp(MIN_FACTOR, MAX_FACTOR) * 100.0).round() as u16)
+    }
+
+    fn ratio(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+impl Default for Factor {
+    fn default() -> Self {
+        Self::ONE
+    }
+}
+
+/// What an entry reports of a kind.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Measure {
+    /// The kind.
+    pub kind: Kind,
+    /// How long its executors take, relative to the estimate.
+    pub factor: Factor,
+    /// Number of runs that the sender has measured; 0 if it has the factor from others.
+    pub weight: u16,
+}
+
+/// What is known of the speed of executors and their kinds.
+#[derive(Debug)]
+pub struct Speeds {
+    is_enabled: bool,
+    /// Ratio of the factors of two kinds from which they count as uneven.
+    uneven_ratio: f64,
+    fit: Fit,
+    /// When the model was last fitted.
+    fitted: Time,
+    heard: Heard,
+    singles: FxHashMap<EndpointId, Single>,
+    /// Moving average of the spread of runs around their expected time, in octaves.
+    spread: f32,
+    /// The factors in use, by kind. They stay until they differ clearly from the fitted ones.
+    published: BTreeMap<Kind, Published>,
+    is_uneven: bool,
+    /// Counts the changes of what this entry has measured itself.
+    revision: u64,
+    /// The revision that each connected entry was sent last.
+    sent: FxHashMap<Home, u64>,
+}
+
+/// The factor of a kind in use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Published {
+    factor: Factor,
+    /// Number of runs measured here; 0 if the factor is from others.
+    weight: u16,
+}
+
+impl Speeds {
+    /// Knows no speed yet.
+    pub fn new(options: &Options) -> Self {
+        Self {
+            is_enabled: options.speed_by_kind,
+            uneven_ratio: options.speed_ratio_percent as f64 / 100.0,
+            fit: Fit::default(),
+            fitted: Time(0),
+            heard: Heard::default(),
+            singles: FxHashMap::default(),
+            spread: ASSUMED_SPREAD,
+            published: BTreeMap::new(),
+            is_uneven: false,
+            revision: 0,
+            sent: FxHashMap::default(),
+        }
+    }
+
+    /// Records that a run on `executor` took `elapsed`, from its start order until its end was known.
+    pub fn observe(&mut self, now: Time, executor: &Executor, elapsed: Span, estimate: Span) {
+        if !self.is_enabled || estimate == Span::ZERO {
+            return;
+        }
+        self.observe_single(now, executor, elapsed, estimate);
+        self.fit.observe(known_kind(executor), elapsed, estimate);
+    }
+
+    /// Compares a run with what its kind lets expect. Runs that consist mostly of the fixed part say
+    /// little of the executor.
+    fn observe_single(&mut self, now: Time, executor: &Executor, elapsed: Span, estimate: Span) {
+        let Some(factor) = self.kind_factor(executor) else { return };
+        let (fixed, expected) = (self.fit.fixed().0 as f32, estimate.0 as f32 * factor as f32);
+        if expected < fixed {
+            return;
+        }
+        let net = (elapsed.0 as f32 - fixed).max(expected / 16.0);
+        let octaves = (net / expected).log2();
+        let single = self.singles.entry(executor.id).or_insert_with(|| Single::new(executor));
+        if !single.is_of(executor) {
+            *single = Single::new(executor);
+        }
+        single.observe(now, octaves);
+        let spread = octaves.abs().min(MAX_SPREAD) * DEVIATION_RATIO;
+        self.spread += (spread - self.spread) / SPREAD_WEIGHT;
+    }
+
+    /// Fits the model to the latest runs and publishes factors that have changed. Returns a line for
+    /// the decision log for each of them.
+    pub fn refresh(&mut self, now: Time) -> Vec<Decision> {
+        if !self.is_enabled || now.since(self.fitted) < FIT_INTERVAL {
+            return Vec::new();
+        }
+        self.fitted = now;
+        self.fit.update();
+        self.singles.retain(|_, single| !single.is_outdated(now));
+        let changed = self.publish();
+        if changed.is_empty() {
+            return Vec::new();
+        }
+        self.is_uneven = self.ratio() >= self.limit();
+        let line = |(kind, published): (Kind, Published)| Decision::Speed {
+            kind,
+            factor: published.factor,
+            runs: published.weight,
+            fixed: self.fit.fixed(),
+            uneven: self.is_uneven,
+        };
+        changed.into_iter().map(line).collect()
+    }
+
+    /// Publishes the factors that have changed, and returns them.
+    fn publish(&mut self) -> Vec<(Kind, Published)> {
+        let measured = self.fit.kinds().map(|(kind, _)| kind);
+        let mut kinds: Vec<_> = measured.chain(self.heard.kinds()).cloned().collect();
+        kinds.sort_unstable();
+        kinds.dedup();
+        let mut changed = Vec::new();
+        for kind in kinds {
+            let Some(new) = self.estimate(&kind) else { continue };
+            let old = self.published.get(&kind).copied();
+            if old.is_none() && self.published.len() >= MAX_KINDS {
+                continue;
+            }
+            let has_changed = old.is_none_or(|old| differs(old.factor, new.factor));
+            let is_measured = |published: Published| published.weight > 0;
+            let was_measured = old.is_some_and(is_measured);
+            if has_changed || is_measured(new) != was_measured {
+                self.revision += u64::from(is_measured(new) || was_measured);
+                self.published.insert(kind.clone(), new);
+                changed.push((kind, new));
+            }
+        }
+        changed
+    }
+
+    /// The factor of a kind by the runs measured here. Reports of others stand in for the runs that
+    /// are missing to enough of them.
+    fn estimate(&self, kind: &Kind) -> Option<Published> {
+        let window = self.fit.kinds().find(|(other, _)| *other == kind).map(|(_, window)| window);
+        let (runs, own) = window.map_or((0, 1.0), |window| (window.runs(), window.factor()));
+        if runs >= ENOUGH_RUNS {
+            let weight = runs.min(u32::from(MAX_WEIGHT)) as u16;
+            return Some(Published { factor: Factor::from_ratio(own), weight });
+        }
+        let heard = self.heard.factor(kind)?;
+        let part = f64::from(runs) / f64::from(ENOUGH_RUNS);
+        let octaves = part * own.log2() + (1.0 - part) * heard.log2();
+        Some(Published { factor: Factor::from_ratio(octaves.exp2()), weight: 0 })
+    }
+
+    /// The ratio of the factors of the slowest and the fastest kind.
+    fn ratio(&self) -> f64 {
+        let factors = || self.published.values().map(|published| published.factor.ratio());
+        let (slowest, fastest) =
+            (factors().fold(0.0, f64::max), factors().fold(MAX_FACTOR, f64::min));
+        if self.published.is_empty() { 1.0 } else { slowest / fastest }
+    }
+
+    /// The ratio from which kinds count as uneven now.
+    fn limit(&self) -> f64 {
+        match self.is_uneven {
+            true => 1.0 + (self.uneven_ratio - 1.0) * STAYS_UNEVEN,
+            false => self.uneven_ratio,
+        }
+    }
+
+    /// The published factor of an executor's kind; for an unknown one that of the measured executors
+    /// without a known kind, else the middle of the kinds.
+    fn kind_factor(&self, executor: &Executor) -> Option<f64> {
+        let known = known_kind(executor).and_then(|kind| self.published.get(kind));
+        if let Some(published) = known {
+            return Some(published.factor.ratio());
+        }
+        let unknown = self.fit.unknown();
+        if unknown.runs() >= ENOUGH_RUNS {
+            return Some(unknown.factor());
+        }
+        let octaves: f64 = self.published.values().map(|p| p.factor.ratio().log2()).sum();
+        let count = self.published.len();
+        (count > 0).then(|| (octaves / count as f64).exp2())
+    }
+
+    /// The expected run time on an executor, relative to the estimate and without the fixed part: the
+    /// factor of its kind, and its own deviation from that. [`Factor::ONE`] while the kinds are not
+    /// known to differ.
+    pub fn factor(&self, executor: &Executor) -> Factor {
+        if !self.is_uneven {
+            return Factor::ONE;
+        }
+        let Some(kind) = self.kind_factor(executor) else { return Factor::ONE };
+        let single = self.singles.get(&executor.id).filter(|single| single.is_of(executor));
+        let octaves = single.map_or(0.0, |single| single.deviation(self.spread));
+        Factor::from_ratio(kind * f64::from(octaves).exp2())
+    }
+
+    /// The part of a run time that does not depend on the estimate, as measured at this entry. Zero
+    /// while the kinds are not known to differ.
+    pub fn fixed(&self) -> Span {
+        if self.is_uneven { self.fit.fixed() } else { Span::ZERO }
+    }
+
+    /// The expected time from the start order on an executor until the end is known here.
+    pub fn run_time(&self, executor: &Executor, estimate: Span) -> Span {
+        self.fixed() + self.factor(executor).run_time(estimate)
+    }
+
+    /// Whether kinds of executors differ so much that placement takes their speed into account.
+    pub fn is_uneven(&self) -> bool {
+        self.is_uneven
+    }
+
+    /// The factors of the kinds that are known here.
+    pub fn kinds(&self) -> Vec<(Kind, Factor)> {
+        let published = self.published.iter();
+        published.map(|(kind, published)| (kind.clone(), published.factor)).collect()
+    }
+
+    /// What a report to `peer` has to contain: nothing if it was sent the present factors.
+    pub fn take_unsent(&mut self, peer: Home) -> Vec<Measure> {
+        if self.published.is_empty() || self.sent.get(&peer) == Some(&self.revision) {
+            return Vec::new();
+        }
+        self.sent.insert(peer, self.revision);
+        let row = |(kind, published): (&Kind, &Published)| Measure {
+            kind: kind.clone(),
+            factor: published.factor,
+            weight: published.weight,
+        };
+        self.published.iter().map(row).collect()
+    }
+
+    /// Records what another entry reports, which replaces its earlier rows. Without rows nothing has
+    /// changed there.
+    pub fn hear(&mut self, peer: Home, rows: Vec<Measure>) {
+        if self.is_enabled && !rows.is_empty() {
+            self.heard.set(peer, rows);
+        }
+    }
+
+    /// Forgets a disconnected entry. Factors that were published from its reports stay.
+    pub fn forget(&mut self, peer: Home) {
+        self.heard.remove(peer);
+        self.sent.remove(&peer);
+    }
+}
+
+/// The kind of an executor, unless its name is too long for reports.
+fn known_kind(executor: &Executor) -> Option<&Kind> {
+    executor.kind.as_ref().filter(|kind| kind.0.len() <= MAX_NAME)
+}
+
+/// Whether a factor has to be published in place of another.
+fn differs(old: Factor, new: Factor) -> bool {
+    (new.ratio() / old.ratio()).log2().abs() >= PUBLISHED_STEP
+}
