Executors are chosen by what is left of a job's objective

Where kinds of executors differ in speed, the fastest ones went to whichever task came first, and long tasks got the slow ones that they are late on.

A keeper now starts a task only on executors on which it is in time, while there are any, and keeps fast room for the tasks that depend on it. Reports of room give the speed classes, so that homes send tasks to keepers with room of the right speed, also in other data centres. The deadline follows the true length of a task by the stretch of its route, which jobs and placements carry. The setting choice selects the way; nothing changes where speeds are alike.

--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -107,7 +107,8 @@
         // A task may be handed back many times before it starts.
         Decision::TaskEnded { end, again, .. } => *again && *end == End::NotRun,
         Decision::Keep { change, .. } => *change == KeepChange::Look,
-        Decision::StartRefused { .. }
+        Decision::LateRun { .. }
+        | Decision::StartRefused { .. }
         | Decision::StopRun { .. }
         | Decision::Left { .. }
         | Decision::Health { .. }
--- a/components/runner/tests/engine.rs
+++ b/components/runner/tests/engine.rs
@@ -7,7 +7,7 @@
     Event, Executor, Job, Options,
     action::{Poll, Start},
     executor::{Ended, Listing, Response, RunResult, Service, StartResponse},
-    job::{Answer, Run},
+    job::{Answer, Run, Stretch},
 };
 use site::{
     id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId},
@@ -118,6 +118,7 @@
         due: now + Span::from_secs(2),
         give_up: now + Span::from_secs(4),
         first_run: 1,
+        stretch: Stretch::default(),
     }
 }
 
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -138,6 +138,24 @@
         waited: Span,
         /// Age of the clock reading that the lease deadline is computed from.
         clock_age: Span,
+        /// The kind of the executor's machine.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        kind: Option<Kind>,
+        /// Whether the task will be in time there; absent where all executors are alike.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        outlook: Option<Outlook>,
+    },
+    /// A run completed after the deadline of its job, at a site whose executors differ in speed.
+    LateRun {
+        /// The run, as task name and run number.
+        run: CompactString,
+        /// Name of the executor.
+        executor: CompactString,
+        /// The kind of the executor's machine.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        kind: Option<Kind>,
+        /// Time since the deadline, as computed from the caller's estimate.
+        late_by: Span,
     },
     /// An executor refused a start.
     StartRefused {
@@ -285,6 +303,16 @@
     serializer.collect_str(value)
 }
 
+/// Whether a task will be in time on the executor chosen for it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outlook {
+    /// It will be, by the speed of the executor.
+    InTime,
+    /// It is late on every executor of its keeper.
+    Late,
+}
+
 /// How a run ended, and how the keeper knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- /dev/null
+++ b/components/runs/src/deadline.rs
@@ -0,0 +1,54 @@
+//! Which executors are fast enough for a task.
+//!
+//! A job's objective grows with the true length of its tasks: its deadline is computed as a constant
+//! plus the estimate times its [`Stretch`]. A task that is longer than estimated by some time is
+//! therefore due later by that time multiplied by the stretch.
+
+use crate::{job::Stretch, speed::Factor};
+use site::unit::Span;
+
+/// The time allowed for a run, in percent of the expected one. Speeds are fitted to estimates that
+/// are off by up to 40%, which makes the factors too small by about a seventh.
+const MARGIN_PERCENT: i64 = 115;
+
+/// A task's deadline, for a start at one moment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Deadline {
+    /// Run time of the task, by its caller's estimate.
+    pub(crate) estimate: Span,
+    /// Microseconds until the deadline of its job, as computed from the estimate; negative after
+    /// it.
+    pub(crate) left: i64,
+    /// How the deadline depends on the true length.
+    pub(crate) stretch: Stretch,
+    /// Part of a run time that does not depend on the length: the order, the start and the listing.
+    pub(crate) fixed: Span,
+}
+
+impl Deadline {
+    /// The slowest speed at which the task is in time, but never one that excludes executors of the
+    /// fastest class: with the lengths that `caution_percent`
+    /// allows for if an executor of speed `fastest` is fast enough for all of them, otherwise with
+    /// the estimated one. `None` if it is late even on that executor.
+    pub(crate) fn slowest(&self, fastest: Factor, caution_percent: u64) -> Option<Factor> {
+        let is_enough = |slowest: &Factor| *slowest >= fastest;
+        let cautious = Some(self.slowest_within(caution_percent)).filter(is_enough);
+        let slowest = cautious.or_else(|| Some(self.slowest_within(100)).filter(is_enough))?;
+        Some(slowest.max(fastest.class_limit()))
+    }
+
+    /// The slowest speed at which the task is in time if its length is between the estimate divided
+    /// by `percent` and the estimate multiplied by it. The run time and the deadline are linear in
+    /// the length, so both bounds decide.
+    fn slowest_within(&self, percent: u64) -> Factor {
+        let percent = percent.max(1);
+        let lengths = [self.estimate.0 * 100 / percent, self.estimate.0 * percent / 100];
+        let slowest = |length: u64| {
+            let length = length.max(1) as i64;
+            let extra = i64::from(self.stretch.0) * (length - self.estimate.0 as i64) / 100;
+            let left = self.left + extra - self.fixed.0 as i64;
+            (left * 10_000 / (length * MARGIN_PERCENT)).clamp(0, i64::from(u16::MAX)) as u16
+        };
+        Factor(lengths.map(slowest).into_iter().min().unwrap_or_default())
+    }
+}
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -314,7 +314,8 @@
         loop {
             let own = self.jobs.expire(now, out);
             self.keeper.cancel(now, &own, out);
-            for placement in self.jobs.place(now, self.keeper.room(now), out) {
+            let (room, fixed) = (self.keeper.room(now), self.keeper.fixed_run_time());
+            for placement in self.jobs.place(now, room, fixed, out) {
                 self.keeper.place(now, placement, false);
             }
             self.keeper.start_queued(now, out);
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -3,7 +3,9 @@
 use crate::{
     Options,
     action::Reason,
+    deadline::Deadline,
     job::{self, Job, Key},
+    speed::Factor,
 };
 use site::{
     id::{EndpointId, Home, WaiterId},
@@ -163,6 +165,24 @@
         now + self.job.estimate > self.job.give_up
     }
 
+    /// The slowest speed at which a task that starts now is in time. `None` if it is late on the
+    /// fastest executors too, or if only executors with a label can run it: reports of room don't
+    /// tell labels.
+    pub(crate) fn slowest(
+        &self,
+        now: Time,
+        fastest: Factor,
+        fixed: Span,
+        options: &Options,
+    ) -> Option<Factor> {
+        if self.job.label.is_some() {
+            return None;
+        }
+        let left = self.job.due.0 as i64 - now.0 as i64;
+        let Job { estimate, stretch, .. } = *self.job;
+        Deadline { estimate, left, stretch, fixed }.slowest(fastest, options.caution_percent)
+    }
+
     /// Sort key: jobs that have begun first, then those that can still be in time, then by latest
     /// start.
     pub(crate) fn rank(&self, now: Time, options: &Options) -> (bool, bool, Time, Key) {
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -93,11 +93,14 @@
         keepers.peek().is_some() && keepers.all(|peer| peer.report.cordoned)
     }
 
-    /// Subtracts tasks that were sent from a peer's room, until its next report.
-    pub(crate) fn reserve(&mut self, peer: Home, cores: u32, tasks: u32) {
-        if let Some(peer) = self.peers.get_mut(&peer) {
-            peer.report.room.reserve(cores, tasks);
-        }
+    /// The room of a peer, until its next report.
+    pub(crate) fn room_mut(&mut self, peer: Home) -> Option<&mut Room> {
+        self.peers.get_mut(&peer).map(|peer| &mut peer.report.room)
+    }
+
+    /// The rooms of all peers, empty ones included.
+    pub(crate) fn rooms(&self, now: Time) -> impl Iterator<Item = &Room> {
+        self.fresh(now).map(|(_, report)| &report.room)
     }
 
     pub(crate) fn capacity(&self) -> u32 {
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -9,15 +9,23 @@
     action::Decision,
     job::Key,
     message::{PlacedTask, Placement, Room},
+    speed::Factor,
 };
 use membership::rendezvous;
-use site::{id::Home, unit::Time};
+use site::{
+    id::Home,
+    unit::{Span, Time},
+};
 use std::cmp::Reverse;
 
 /// A keeper has room to spare for a job if it has room for this many such jobs: other entries may
 /// have sent theirs since its report.
 const SPARE_JOBS: usize = 2;
 
+/// Keepers whose fastest executors differ by less than this percentage may have the same kind: each
+/// measures on its own.
+const SAME_PERCENT: u32 = 150;
+
 /// Tasks of a job that are sent to one keeper.
 struct Share {
     keeper: Home,
@@ -38,11 +46,13 @@
 
 impl Jobs {
     /// Sends pending tasks to keepers with room, the most urgent job first. `own` is the room of
-    /// this entry's executors. Returns the placements for this entry's own executors.
+    /// this entry's executors, `fixed` the part of a run time that does not depend on the task.
+    /// Returns the placements for this entry's own executors.
     pub(crate) fn place(
         &mut self,
         now: Time,
         mut own: Room,
+        fixed: Span,
         out: &mut Vec<Action>,
     ) -> Vec<Placement> {
         let mut order: Vec<_> = self
@@ -53,19 +63,24 @@
             .collect();
         order.sort_unstable();
         let mut placements = Vec::new();
+        let fastest = self.fastest(now, &own);
         for (.., key) in order {
             let Some(open) = self.open.get(&key.number) else { continue };
             let cores = open.job.needs.cores.0;
             let tasks = open.pending(now);
-            let candidates = self.candidates(now, &own, key, cores, tasks.len());
+            let slowest =
+                fastest.and_then(|fastest| open.slowest(now, fastest, fixed, &self.options));
+            let candidates = self.candidates(now, &own, key, cores, slowest, tasks.len());
             for share in divide(tasks, candidates) {
                 let count = share.tasks.len() as u32;
                 let Some(placement) = self.send(now, key, &share, out) else { continue };
                 if share.keeper == self.me {
-                    own.reserve(cores, count);
+                    reserve(&mut own, cores, count, slowest);
                     placements.push(placement);
                 } else {
-                    self.peers.reserve(share.keeper, cores, count);
+                    if let Some(room) = self.peers.room_mut(share.keeper) {
+                        reserve(room, cores, count, slowest);
+                    }
                     let message = Message::Place(placement);
                     out.push(Action::Send { to: share.keeper, message });
                 }
@@ -74,21 +89,40 @@
         placements
     }
 
+    /// The speed of the fastest executors of all keepers, this entry included; `None` if executors
+    /// are not known to differ.
+    fn fastest(&self, now: Time, own: &Room) -> Option<Factor> {
+        let rooms = self.peers.rooms(now).chain([own]);
+        let mut fastest: Vec<_> = rooms.filter_map(Room::fastest).collect();
+        fastest.sort_unstable();
+        let first = u32::from(fastest.first()?.0);
+        let alike = |factor: &Factor| u32::from(factor.0) * 100 < first * SAME_PERCENT;
+        let count = fastest.partition_point(alike);
+        fastest.get(count / 2).copied()
+    }
+
     /// Keepers with room, in order of preference: this entry, then those of its data centre, then
     /// those with room to spare in an order that differs between jobs, then those with the most
-    /// room.
+    /// room. Room on executors that are slower than `slowest` does not count.
     fn candidates(
         &self,
         now: Time,
         own: &Room,
         key: Key,
         cores: u32,
+        slowest: Option<Factor>,
         tasks: usize,
     ) -> Vec<Candidate> {
         let own = (!own.is_empty()).then_some((self.me, own));
         let rooms = self.peers.with_room(now).chain(own);
         let mut candidates: Vec<_> = rooms
-            .map(|(keeper, room)| Candidate { keeper, count: room.count(cores), ahead: room.ahead })
+            .map(|(keeper, room)| {
+                let count = match slowest {
+                    Some(slowest) => room.count_within(cores, slowest),
+                    None => room.count(cores),
+                };
+                Candidate { keeper, count, ahead: room.ahead }
+            })
             .collect();
         let far = |home: Home| home.data_centre != self.me.data_centre;
         let subject = rendezvous::rank(key.home, key.number);
@@ -146,6 +180,14 @@
     shares
 }
 
+/// Subtracts tasks that were sent from a keeper's room.
+fn reserve(room: &mut Room, cores: u32, tasks: u32, slowest: Option<Factor>) {
+    match slowest {
+        Some(slowest) => room.reserve_within(cores, tasks, slowest),
+        None => room.reserve(cores, tasks),
+    }
+}
+
 /// Marks the tasks of a share as placed.
 fn placement(now: Time, open: &mut OpenJob, share: &Share) -> Placement {
     let begun = open.has_begun(now);
@@ -170,5 +212,6 @@
         due_in: job.due.since(now),
         give_up_in: job.give_up.since(now),
         tasks: share.tasks.iter().map(place).collect(),
+        stretch: job.stretch,
     }
 }
--- a/components/runs/src/job.rs
+++ b/components/runs/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs, tasks and runs.
 
 use compact_str::{CompactString, format_compact};
+use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 use site::{
     id::{Home, ServiceId},
@@ -43,6 +44,33 @@
     /// entries that know nothing of each other, so this grows with the time since the caller's
     /// first try.
     pub first_run: u32,
+    /// How `due` depends on the true length of its tasks.
+    pub stretch: Stretch,
+}
+
+/// By how much a job's deadline moves with the length of its tasks, in percent: the deadline of a
+/// job whose longest task takes 10 ms more than estimated is later by 10 ms times this.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    Eq,
+    FromStr,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Stretch(pub u16);
+
+impl Default for Stretch {
+    fn default() -> Self {
+        Self(100)
+    }
 }
 
 impl Job {
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -6,6 +6,7 @@
     clock::{self, Clock, RemoteTime},
     job::{Run, Task},
     message::End,
+    speed::Factor,
 };
 use rustc_hash::FxHashMap;
 use site::{
@@ -62,6 +63,8 @@
     pub(crate) overcommits: bool,
     /// How many times as long as others it takes for a task.
     pub(crate) slowness: f32,
+    /// Its speed where executors are known to differ in that.
+    pub(crate) speed: Factor,
     /// When a task last completed there.
     pub(crate) last_completed: Time,
 }
@@ -110,6 +113,11 @@
     pub(crate) needs: Resources,
     pub(crate) estimate: Span,
     pub(crate) give_up: Time,
+    /// The deadline of its job; `None` where all executors are alike, or if a former keeper started
+    /// it.
+    pub(crate) due: Option<Time>,
+    /// Whether the task is late on the slowest executors and in time on others.
+    pub(crate) is_demanding: bool,
     /// When its start was sent.
     pub(crate) sent: Time,
     pub(crate) state: State,
@@ -177,6 +185,7 @@
             no_start_before: Time(0),
             overcommits: false,
             slowness: 1.0,
+            speed: Factor::ONE,
             last_completed: Time(0),
         }
     }
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -1,5 +1,6 @@
 //! The keeper role of an entry: the executors that it keeps, and the tasks queued for them.
 
+mod choice;
 mod incarnation;
 mod lease;
 mod poll;
@@ -11,6 +12,7 @@
 
 pub(crate) use room::Offer;
 
+use choice::Demand;
 use incarnation::Age;
 use lease::{Lease, OutstandingPoll, Phase, State, TrackedRun};
 use queue::{Queue, Queued};
@@ -53,6 +55,8 @@
     queue: Queue,
     health: Monitor,
     pub(crate) speeds: Speeds,
+    /// The demand for fast executors.
+    demand: Demand,
     /// Moving average of the resources that a task needs.
     usual_needs: Resources,
     /// Moving average of the time from a start to its response.
@@ -76,6 +80,7 @@
             queue: Queue::default(),
             health: Monitor::new(),
             speeds: Speeds::new(&options),
+            demand: Demand::default(),
             usual_needs: Resources::SLOT,
             usual_start_time: Span::ZERO,
             usual_run_time: Span::ZERO,
@@ -266,6 +271,7 @@
             self.record_health(id, change, out);
         }
         out.extend(self.speeds.refresh(now).into_iter().map(Action::Log));
+        self.update_speeds();
         let ids: Vec<_> = self.leases.keys().copied().collect();
         let mut claims = Vec::new();
         for id in ids {
@@ -328,6 +334,14 @@
         }
         if end == End::Done {
             let elapsed = now.since(live.sent);
+            if let Some(due) = live.due.filter(|due| now > *due) {
+                out.push(Action::Log(Decision::LateRun {
+                    run: run.to_string().into(),
+                    executor: lease.executor.name.clone(),
+                    kind: lease.executor.kind.clone(),
+                    late_by: now.since(due),
+                }));
+            }
             // A former keeper measured the first part of an inherited run, and nobody the transfer.
             if !live.inherited {
                 self.speeds.observe(now, &lease.executor, elapsed, live.estimate);
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -243,12 +243,13 @@
         if lease.missed_polls > 0 && !lease.runs.is_empty() && lease.has_expired(now) {
             return self.lease_expired(now, id, out);
         }
+        let slowness = self.expected_slowness(lease);
         let overdue = |live: &TrackedRun| {
             let factor = match lease.last_completed > live.sent {
                 true => self.options.overdue_factor_working,
                 false => self.options.overdue_factor,
             };
-            let limit = Span(live.estimate.0 * factor);
+            let limit = Span(slowness.run_time(live.estimate).0 * factor);
             let seen = live.seen.unwrap_or(live.sent);
             seen.since(live.sent) > limit + self.options.overdue_margin
         };
@@ -374,6 +375,8 @@
             needs: Resources::default(),
             estimate: Span::ZERO,
             give_up: now,
+            due: None,
+            is_demanding: false,
             sent: now,
             state: State::Running { since: now },
             seen: Some(now),
--- a/components/runs/src/keeper/queue.rs
+++ b/components/runs/src/keeper/queue.rs
@@ -1,7 +1,8 @@
 //! Tasks that are queued at their keeper.
 
 use crate::{
-    job::{Run, Task},
+    deadline::Deadline,
+    job::{Run, Stretch, Task},
     message::{End, Ended, PlacedTask, Placement},
 };
 use compact_str::CompactString;
@@ -27,14 +28,27 @@
     pub(crate) begun: bool,
     /// The latest start at which the job is in time, by the estimate.
     pub(crate) start_by: Time,
+    /// The deadline of the job.
+    pub(crate) due: Time,
+    pub(crate) stretch: Stretch,
     pub(crate) avoid: Vec<EndpointId>,
     pub(crate) since: Time,
 }
 
 impl Queued {
     pub(crate) fn new(now: Time, placement: &Placement, place: &PlacedTask) -> Self {
-        let Placement { job, name, spec, needs, label, per_executor, estimate, service, .. } =
-            placement;
+        let Placement {
+            job,
+            name,
+            spec,
+            needs,
+            label,
+            per_executor,
+            estimate,
+            service,
+            stretch,
+            ..
+        } = placement;
         Self {
             task: Task { job: *job, index: place.index },
             run: Run { job: name.clone(), index: place.index, number: place.run },
@@ -47,6 +61,8 @@
             give_up: now + placement.give_up_in,
             begun: placement.begun,
             start_by: now + (placement.due_in - *estimate),
+            due: now + placement.due_in,
+            stretch: *stretch,
             avoid: place.avoid.clone(),
             since: now,
         }
@@ -61,6 +77,12 @@
         now + self.estimate > self.give_up
     }
 
+    /// Its deadline, for a start at `now` with this fixed part of the run time.
+    pub(crate) fn deadline(&self, now: Time, fixed: Span) -> Deadline {
+        let left = self.due.0 as i64 - now.0 as i64;
+        Deadline { estimate: self.estimate, left, stretch: self.stretch, fixed }
+    }
+
     /// Sort key: jobs that have begun first, as at their homes, then those that can still be in
     /// time, then by latest start.
     fn rank(&self, now: Time) -> (bool, bool, Time, Time) {
--- a/components/runs/src/keeper/room.rs
+++ b/components/runs/src/keeper/room.rs
@@ -3,9 +3,11 @@
 use super::{Keeper, Lease, Phase};
 use crate::{
     Executor, Job,
+    classes::Classes,
     load::{self, Load},
-    message::Room,
+    message::{Room, SpeedClass},
     options::Supply,
+    speed::Factor,
 };
 use site::unit::{Resources, Span, Time};
 
@@ -30,14 +32,38 @@
         if usable.is_empty() {
             return Room::default();
         }
+        let (usual, queued) = (self.usual_needs.cores.0, self.queue.len() as u32);
+        if self.considers_speed() {
+            let mut room = self.room_by_speed(&usable);
+            room.reserve_within(usual, queued, Factor(u16::MAX));
+            return room;
+        }
         let free = usable.iter().map(|lease| lease.free().cores.0);
         let mut cores: Vec<_> = free.filter(|free| *free > 0).collect();
         cores.sort_unstable();
-        let mut room = Room { cores, ahead: self.options.queue_ahead };
-        room.reserve(self.usual_needs.cores.0, self.queue.len() as u32);
+        let mut room = Room { cores, ahead: self.options.queue_ahead, speeds: Vec::new() };
+        room.reserve(usual, queued);
         room
     }
 
+    /// The room of executors, grouped by their speed.
+    fn room_by_speed(&self, usable: &[&Lease]) -> Room {
+        let classes: Classes = usable.iter().map(|lease| lease.speed).collect();
+        let mut free: Vec<_> = usable
+            .iter()
+            .map(|lease| (classes.index(lease.speed), lease.free().cores.0))
+            .filter(|(_, free)| *free > 0)
+            .collect();
+        free.sort_unstable();
+        let speeds = classes.factors().enumerate().map(|(index, factor)| {
+            let executors = free.iter().filter(|(class, _)| *class == index).count();
+            SpeedClass { factor, executors: executors as u16 }
+        });
+        let speeds = speeds.collect();
+        let cores = free.into_iter().map(|(_, free)| free).collect();
+        Room { cores, ahead: self.options.queue_ahead, speeds }
+    }
+
     /// Number of tasks of usual size that the executors in use can run concurrently, under cordon
     /// or not.
     pub(crate) fn capacity(&self) -> u32 {
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -1,6 +1,6 @@
 //! Starts: chooses executors for queued tasks and handles the responses.
 
-use super::{Keeper, Lease, Queued, State, TrackedRun};
+use super::{Keeper, Queued, State, TrackedRun, choice::Chosen};
 use crate::{
     Action,
     action::{Decision, Ending, Start},
@@ -12,7 +12,6 @@
     id::EndpointId,
     unit::{Span, Time},
 };
-use std::cmp::Reverse;
 
 /// How long an executor that refused a start, or could not be sent one, gets no other. About the
 /// time until its next listing, which shows what occupies it.
@@ -24,10 +23,6 @@
 /// Divisor of the moving average of start times: the inverse of the weight of one start.
 const START_TIME_WEIGHT: u64 = 8;
 
-/// Resolution of slowness in steps per factor of 1, so that small differences leave the choice to
-/// room.
-const SLOWNESS_STEPS: f32 = 4.0;
-
 impl Keeper {
     /// Starts the queued tasks that there is room for, the most urgent first.
     pub(crate) fn start_queued(&mut self, now: Time, out: &mut Vec<Action>) {
@@ -40,7 +35,7 @@
                 continue;
             }
             match self.choose_executor(now, &queued) {
-                Some(executor) => self.start(now, executor, queued, out),
+                Some(chosen) => self.start(now, chosen, queued, out),
                 None if now.since(queued.since) > self.options.queue_hold => {
                     self.ends.push(queued.ended(End::NotRun));
                 }
@@ -49,39 +44,9 @@
         }
     }
 
-    /// Chooses the executor for a task: among those with room the fastest, and of these the one
-    /// with the least capacity left afterwards.
-    fn choose_executor(&self, now: Time, queued: &Queued) -> Option<EndpointId> {
-        if self.leases.values().any(|lease| lease.runs.keys().any(|run| queued.is_same_task(run))) {
-            return None;
-        }
-        let suits = |lease: &&Lease| {
-            lease.is_usable(now)
-                && lease.executor.service == queued.service
-                && lease.free().fits(&queued.needs)
-                && self.allows_starts(&lease.executor)
-                && !queued.avoid.contains(&lease.executor.id)
-                && queued.label.as_ref().is_none_or(|label| lease.executor.labels.contains(label))
-                && queued
-                    .per_executor
-                    .is_none_or(|most| lease.count(queued.task.job) < usize::from(most))
-                && now + slowed(queued.estimate, lease.slowness) <= queued.give_up
-        };
-        let rank = |lease: &&Lease| {
-            let left = lease.free().minus(&queued.needs);
-            (
-                (lease.slowness * SLOWNESS_STEPS) as u32,
-                left.cores,
-                left.memory,
-                Reverse(lease.executor.id),
-            )
-        };
-        let best = self.leases.values().filter(suits).min_by_key(rank)?;
-        Some(best.executor.id)
-    }
-
-    fn start(&mut self, now: Time, id: EndpointId, queued: Queued, out: &mut Vec<Action>) {
+    fn start(&mut self, now: Time, chosen: Chosen, queued: Queued, out: &mut Vec<Action>) {
         let span = self.options.lease;
+        let Chosen { executor: id, kind, outlook, is_demanding } = chosen;
         let Some(lease) = self.leases.get_mut(&id) else { return };
         let clock_age = lease.clock.map_or(Span::ZERO, |clock| clock.age(now));
         let Some(deadline) = lease.extend_deadline(now, span) else { return };
@@ -91,6 +56,8 @@
             needs: queued.needs,
             estimate: queued.estimate,
             give_up: queued.give_up,
+            due: outlook.map(|_| queued.due),
+            is_demanding,
             sent: now,
             state: State::Starting,
             seen: None,
@@ -104,7 +71,13 @@
             executor: lease.executor.name.clone(),
             waited: now.since(queued.since),
             clock_age,
+            kind,
+            outlook,
         }));
+        if is_demanding {
+            let span = lease.speed.run_time(queued.estimate);
+            self.demand.record(now, queued.needs.cores.0, span);
+        }
         let Queued { run, spec, .. } = queued;
         let token = lease.token;
         out.push(Action::Start(Start { executor: id, run, spec, deadline, token }));
@@ -221,13 +194,8 @@
     }
 }
 
-/// A span on an executor that takes `factor` times as long as others.
-fn slowed(span: Span, factor: f32) -> Span {
-    Span((span.0 as f32 * factor) as u64)
-}
-
 impl Queued {
-    fn is_same_task(&self, run: &Run) -> bool {
+    pub(super) fn is_same_task(&self, run: &Run) -> bool {
         run.index == self.run.index && run.job == self.run.job
     }
 }
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -127,6 +127,8 @@
             needs: run.needs,
             estimate: run.estimate,
             give_up: now + run.give_up_in,
+            due: None,
+            is_demanding: false,
             sent: Time(now.0.saturating_sub(run.running_for.0)),
             state: listed.map_or(State::Unconfirmed { since: now }, |live| live.state),
             seen: listed.and_then(|live| live.seen),
--- a/components/runs/src/lib.rs
+++ b/components/runs/src/lib.rs
@@ -10,8 +10,10 @@
 //! opens no socket and draws no random number, so equal events give equal actions.
 
 pub mod action;
+mod classes;
 pub mod clock;
 pub mod cordon;
+mod deadline;
 pub mod entry;
 pub mod event;
 pub mod executor;
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -4,9 +4,9 @@
 use crate::{
     Cordon,
     executor::Incarnation,
-    job::{Run, Task},
+    job::{Run, Stretch, Task},
     load::{Load, Summary},
-    speed::Measure,
+    speed::{Factor, Measure},
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
     id::{EndpointId, ServiceId},
     unit::{Resources, Revision, Span, Time},
 };
-use std::sync::Arc;
+use std::{cmp::Reverse, iter, sync::Arc};
 
 /// A message between two entries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -74,6 +74,8 @@
     pub give_up_in: Span,
     /// The tasks to run.
     pub tasks: Vec<PlacedTask>,
+    /// How the deadline depends on the true length of the tasks.
+    pub stretch: Stretch,
 }
 
 /// One task of a placement.
@@ -190,6 +192,19 @@
     /// Tasks that may be sent beyond that and are queued at the keeper, so that no capacity idles
     /// until their home gets the next report.
     pub ahead: u32,
+    /// The speed classes of the executors that take tasks, the fastest first, including those that
+    /// are full. `cores` is in the order of the classes. Empty if the executors are alike, or not
+    /// known to differ.
+    pub speeds: Vec<SpeedClass>,
+}
+
+/// Executors that are about equally fast.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct SpeedClass {
+    /// Their speed.
+    pub factor: Factor,
+    /// How many of them have free cores.
+    pub executors: u16,
 }
 
 impl Room {
@@ -198,6 +213,18 @@
         self.cores.iter().map(|free| free / cores.max(1)).sum()
     }
 
+    /// How many tasks that need `cores` fit on executors that are at least as fast as `slowest`.
+    pub fn count_within(&self, cores: u32, slowest: Factor) -> u32 {
+        let fast = self.factors().zip(&self.cores).filter(|(factor, _)| *factor <= slowest);
+        fast.map(|(_, free)| free / cores.max(1)).sum()
+    }
+
+    /// The speed of the fastest executors, full ones included; `None` if the executors are not known
+    /// to differ.
+    pub fn fastest(&self) -> Option<Factor> {
+        self.speeds.first().map(|class| class.factor)
+    }
+
     /// Subtracts tasks that need `cores` and were sent, best fit first: each from the fullest
     /// executor that has room for it.
     pub fn reserve(&mut self, cores: u32, tasks: u32) {
@@ -210,6 +237,31 @@
         }
     }
 
+    /// The same for tasks that only start on executors at least as fast as `slowest`, and on the
+    /// slowest of these.
+    pub fn reserve_within(&mut self, cores: u32, tasks: u32, slowest: Factor) {
+        let factors: Vec<_> = self.factors().collect();
+        for _ in 0..tasks {
+            let fitting = factors.iter().zip(&mut self.cores);
+            let fitting = fitting.filter(|(factor, free)| **factor <= slowest && **free >= cores);
+            match fitting.min_by_key(|(factor, free)| (Reverse(**factor), **free)) {
+                Some((_, free)) => *free -= cores,
+                None => self.ahead = self.ahead.saturating_sub(1),
+            }
+        }
+    }
+
+    /// The speed of each executor in `cores`.
+    fn factors(&self) -> impl Iterator<Item = Factor> {
+        let of_class =
+            |class: &SpeedClass| iter::repeat_n(class.factor, usize::from(class.executors));
+        self.speeds
+            .iter()
+            .flat_map(of_class)
+            .chain(iter::repeat(Factor::ONE))
+            .take(self.cores.len())
+    }
+
     /// Whether nothing may be sent.
     pub fn is_empty(&self) -> bool {
         self.cores.is_empty() && self.ahead == 0
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -16,6 +16,19 @@
     Scarce,
 }
 
+/// How a keeper chooses among executors of different speeds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Choice {
+    /// The fastest that has room.
+    Fastest,
+    /// One of the slowest on which the task ends in time.
+    Slowest,
+    /// The fastest while more of their room is free than other tasks will need that are late
+    /// elsewhere, then one of the slowest on which the task ends in time.
+    Reserve,
+}
+
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
 ///
 /// The names are those of the settings, where a poll of an executor is called a look.
@@ -102,6 +115,9 @@
     /// Whether jobs are spread over the keepers of a data centre that have room to spare. Otherwise
     /// all entries send theirs to the keeper with the most room until its next report.
     pub spread: bool,
+    /// How tasks are assigned to executors of different speeds. Has no effect while the executors
+    /// are not known to differ.
+    pub choice: Choice,
     /// Whether jobs with a task that has run have precedence over others.
     pub begun_first: bool,
     /// Whether jobs are rejected at once while too much work is pending.
@@ -227,6 +243,7 @@
             speed_by_kind: true,
             speed_ratio_percent: 150,
             spread: true,
+            choice: Choice::Reserve,
             begun_first: true,
             admission: true,
             fill: true,
--- a/components/runs/tests/common/fixture.rs
+++ b/components/runs/tests/common/fixture.rs
@@ -1,6 +1,6 @@
 //! One entry, one executor and one job, for tests that feed events to a single entry.
 
-use runs::{Executor, Job};
+use runs::{Executor, Job, job::Stretch};
 use site::{
     id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId},
     unit::{Cores, Resources, Slots, Span, Time},
@@ -48,5 +48,6 @@
         due: now + Span::from_secs(3),
         give_up: now + Span::from_secs(9),
         first_run: 1,
+        stretch: Stretch::default(),
     }
 }
--- a/components/runs/tests/executor_losses.rs
+++ b/components/runs/tests/executor_losses.rs
@@ -238,7 +238,7 @@
     fn connect(&mut self, keeper: &str) {
         let peer = home(keeper);
         self.handle(Event::PeerUp { peer });
-        let room = Room { cores: vec![8_000], ahead: 0 };
+        let room = Room { cores: vec![8_000], ahead: 0, speeds: Vec::new() };
         let report = Report { sent: self.now, room, capacity: 8, ..Report::default() };
         self.handle(Event::Message { from: peer, message: Message::Report(report) });
     }
--- a/components/runs/tests/executor_watch.rs
+++ b/components/runs/tests/executor_watch.rs
@@ -129,7 +129,7 @@
     let cordon = Cordon::new(Revision(50), [DataCentreId(1)]);
     scene.feed(Event::Cordoned(cordon));
     scene.report(keepers[0], Report { cordoned: true, ..Report::default() });
-    let room = Room { cores: vec![100], ahead: 0 };
+    let room = Room { cores: vec![100], ahead: 0, speeds: Vec::new() };
     scene.report(keepers[1], Report { room, ..Report::default() });
     scene.feed(Event::Submit { waiter: WaiterId(1), job: job(scene.now) });
     assert_eq!(scene.answers, [], "one of them still takes work");
--- a/components/runs/tests/mistaken_ends.rs
+++ b/components/runs/tests/mistaken_ends.rs
@@ -318,7 +318,11 @@
     let task = Task { job: Key { home: home("entry-1"), number: 1 }, index: 0 };
     let from = |keeper, message| Event::Message { from: home(keeper), message };
     let report = |now, cores| {
-        Message::Report(Report { sent: now, room: Room { cores, ahead: 0 }, ..Report::default() })
+        Message::Report(Report {
+            sent: now,
+            room: Room { cores, ahead: 0, speeds: Vec::new() },
+            ..Report::default()
+        })
     };
     for keeper in ["keeper-1", "keeper-2", "keeper-3"] {
         handle(now, Event::PeerUp { peer: home(keeper) });
--- a/components/runs/tests/reports.rs
+++ b/components/runs/tests/reports.rs
@@ -105,7 +105,7 @@
     for peer in peers {
         entry.handle(begun, Event::PeerUp { peer: *peer }, &mut out);
     }
-    let room = Room { cores: vec![1_000], ahead: 0 };
+    let room = Room { cores: vec![1_000], ahead: 0, speeds: Vec::new() };
     let report = Report { sent: begun, room, capacity: 1, ..Report::default() };
     entry.handle(
         begun,
--- a/components/runs/tests/spread.rs
+++ b/components/runs/tests/spread.rs
@@ -22,7 +22,7 @@
     for number in 0..6 {
         let peer = home(&format!("keeper-{number}"));
         entry.handle(now, Event::PeerUp { peer }, &mut out);
-        let room = Room { cores: vec![16_000 + number * 100], ahead: 0 };
+        let room = Room { cores: vec![16_000 + number * 100], ahead: 0, speeds: Vec::new() };
         let report = Report { sent: now, room, capacity: 16, ..Report::default() };
         entry.handle(
             now,
--- a/lab/src/pattern/draw.rs
+++ b/lab/src/pattern/draw.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, weighted::WeightedIndex};
-use runs::Job;
+use runs::{Job, job::Stretch};
 use site::unit::{Cores, Memory, Resources, Slots, Span, Time};
 use std::f64::consts::TAU;
 
@@ -125,6 +125,7 @@
             due: Time(due.0),
             give_up: Time((due.0 as f64 * GIVE_UP_FACTOR) as u64),
             first_run: 1,
+            stretch: Stretch((self.stretch * 100.0).round() as u16),
         };
         Arrival {
             at: Span((at * 1e6) as u64),
--- a/lab/src/simulation/callers.rs
+++ b/lab/src/simulation/callers.rs
@@ -8,7 +8,10 @@
     layout::{needs, service},
 };
 use rand::Rng;
-use runs::{Event, Job, job::Answer};
+use runs::{
+    Event, Job,
+    job::{Answer, Stretch},
+};
 use site::{
     id::WaiterId,
     unit::{Resources, Span, Time},
@@ -81,6 +84,7 @@
             due: self.now + objective,
             give_up: self.now + Span(objective.0 * 3),
             first_run: 1,
+            stretch: Stretch(160),
         };
         let base = ms * 1_000;
         let length = Span(base + base * (digits % 41) / 100);
