Logs and metrics of the choice of executors

Start lines name the kind of the executor and whether the task will be in time there; late-run lines and the counters run_choices and runs_late tell what came of it, by kind.

--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -101,14 +101,16 @@
 /// Whether a decision is a routine one that indicates no failure.
 fn is_routine(decision: &Decision) -> bool {
     match decision {
-        Decision::Admit { .. } | Decision::Place { .. } | Decision::Start { .. } => true,
+        Decision::Admit { .. }
+        | Decision::Place { .. }
+        | Decision::Start { .. }
+        | Decision::LateRun { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
         Decision::RunEnded { how, .. } => matches!(how, Ending::Unsent | Ending::Refused),
         // A task may be handed back many times before it starts.
         Decision::TaskEnded { end, again, .. } => *again && *end == End::NotRun,
         Decision::Keep { change, .. } => *change == KeepChange::Look,
-        Decision::LateRun { .. }
-        | Decision::StartRefused { .. }
+        Decision::StartRefused { .. }
         | Decision::StopRun { .. }
         | Decision::Left { .. }
         | Decision::Health { .. }
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -7,7 +7,8 @@
 };
 use runs::{
     Decision,
-    executor::{Response, StartResponse},
+    action::Outlook,
+    executor::{Kind, Response, StartResponse},
     job::Answer,
 };
 use site::unit::Span;
@@ -25,6 +26,8 @@
     polls: Counter<u64>,
     stops: Counter<u64>,
     failures: Counter<u64>,
+    choices: Counter<u64>,
+    late_runs: Counter<u64>,
     store: Counter<u64>,
     response: Histogram<f64>,
     cordons: Gauge<u64>,
@@ -48,6 +51,8 @@
             polls: counter("executor_looks", "Polls of executors, by response"),
             stops: counter("run_stops", "Stops sent to executors, by response"),
             failures: counter("run_failures", "Runs that ended otherwise than well"),
+            choices: counter("run_choices", "Starts by kind of executor and outlook"),
+            late_runs: counter("runs_late", "Runs that completed after the deadline, by kind"),
             store: counter("store_calls", "Calls to the platform's store, by outcome"),
             response: meter
                 .f64_histogram("job_response_seconds")
@@ -87,6 +92,15 @@
     pub(crate) fn decided(&self, decision: &Decision) {
         match decision {
             Decision::RunEnded { .. } => self.failures.add(1, &[]),
+            Decision::Start { kind, outlook: Some(outlook), .. } => {
+                let outlook = match outlook {
+                    Outlook::InTime => "in-time",
+                    Outlook::Late => "late",
+                };
+                self.choices
+                    .add(1, &[kind_label(kind.as_ref()), KeyValue::new("outlook", outlook)]);
+            }
+            Decision::LateRun { kind, .. } => self.late_runs.add(1, &[kind_label(kind.as_ref())]),
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
                 self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
@@ -130,6 +144,10 @@
     }
 }
 
+fn kind_label(kind: Option<&Kind>) -> KeyValue {
+    KeyValue::new("kind", kind.map_or_else(|| "unknown".into(), Kind::to_string))
+}
+
 fn name<T>(reply: &Response<T>) -> &'static str {
     match reply {
         Response::Done(_) => "done",
