--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -42,6 +42,9 @@
     figure("worst kind", Tally::worst_kind);
     figure("worst zone", Tally::worst_data_centre);
     figure("cores used", |tally| tally.used);
+    figure("returned", |tally| tally.traffic.returned_share());
+    figure("messages", |tally| tally.traffic.messages as f64);
+    figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
     figure("refused p50 ms", |tally| tally.refusal_ms.0);
     figure("refused p95 ms", |tally| tally.refusal_ms.1);
     println!("{:24} jobs in-time late refused had-room given-up failed  share", "");
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -10,10 +10,12 @@
 mod nodes;
 mod orders;
 mod plan;
+mod traffic;
 
 pub use arrival::{Arrival, Outcome, Record};
 pub use layout::service;
 pub use plan::{DataCentre, Fault, Machine, Plan};
+pub use traffic::Traffic;
 
 use compact_str::CompactString;
 use layout::{capacity, executor, home};
@@ -155,6 +157,8 @@
     pub begun_work: u64,
     /// Number of capacity reports that entries sent to each other while jobs arrived.
     pub reports: u64,
+    /// What entries did with tasks and sent to each other while jobs arrived.
+    pub traffic: Traffic,
 }
 
 impl Simulation {
@@ -206,6 +210,7 @@
             starts: 0,
             begun_work: 0,
             reports: 0,
+            traffic: Traffic::default(),
         };
         for node in 0..simulation.nodes.len() {
             simulation.start_entry(node);
--- a/lab/src/simulation/nodes.rs
+++ b/lab/src/simulation/nodes.rs
@@ -108,6 +108,9 @@
     pub(super) fn carry_out(&mut self, node: usize, action: Action) {
         let home = self.nodes[node].home;
         let incarnation = home.incarnation;
+        if self.is_busy() {
+            self.traffic.record(&action);
+        }
         match action {
             Action::Start(start) => {
                 self.after(NETWORK_DELAY_US, Step::Order(node, incarnation, Order::Start(start)));
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -1,6 +1,6 @@
 //! Statistics of a simulation's answers, weighted by what they are worth to callers.
 
-use crate::simulation::{Arrival, Outcome, Record};
+use crate::simulation::{Arrival, Outcome, Record, Traffic};
 use serde::Serialize;
 use site::unit::Span;
 use std::collections::BTreeMap;
@@ -64,6 +64,8 @@
     pub used: f64,
     /// Median and 95th percentile of the time until a refusal, in milliseconds.
     pub refusal_ms: (f64, f64),
+    /// What entries did with tasks and sent to each other.
+    pub traffic: Traffic,
 }
 
 impl Group {
--- a/lab/src/trial.rs
+++ b/lab/src/trial.rs
@@ -14,7 +14,7 @@
     let mut simulation = Simulation::new(plan, seed);
     simulation.play();
     let used = simulation.begun_work as f64 / available.max(1) as f64;
-    Tally { used, ..Tally::new(&arrivals, &simulation.records) }
+    Tally { used, traffic: simulation.traffic, ..Tally::new(&arrivals, &simulation.records) }
 }
 
 /// Simulates each pattern with each seed in parallel, with a progress bar; returns one row per
