runs: keepers hand tasks that they can't start to keepers with room

Switch: forward.

The other way, shrink_offers, lets homes use less of a keeper's room as its report ages. Off by default.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -388,6 +388,7 @@
             "overdue" => "ran on for several times its estimate and was stopped",
             "start-lost" => "was started without an answer, is not listed, and was stopped",
             "home-lost" => "was stopped, since its home was not heard of",
+            "unconfirmed" => "was stopped, since its home did not confirm its new keeper in time",
             _ => "was stopped, since its keeper did not know it",
         },
         "start-refused" => {
--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -101,7 +101,10 @@
 /// Whether a decision is a routine one that indicates no failure.
 fn is_routine(decision: &Decision) -> bool {
     match decision {
-        Decision::Admit { .. } | Decision::Place { .. } | Decision::Start { .. } => true,
+        Decision::Admit { .. }
+        | Decision::Place { .. }
+        | Decision::Forward { .. }
+        | Decision::Start { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
         Decision::RunEnded { how, .. } => matches!(how, Ending::Unsent | Ending::Refused),
         // A task may be handed back many times before it starts.
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -9,6 +9,7 @@
     Decision,
     executor::{Response, StartResponse},
     job::Answer,
+    message::End,
 };
 use site::unit::Span;
 use telemetry::{Exporter, MetricsError};
@@ -25,6 +26,8 @@
     polls: Counter<u64>,
     stops: Counter<u64>,
     failures: Counter<u64>,
+    forwards: Counter<u64>,
+    returned: Counter<u64>,
     store: Counter<u64>,
     response: Histogram<f64>,
     cordons: Gauge<u64>,
@@ -47,6 +50,8 @@
             polls: counter("executor_looks", "Polls of executors, by response"),
             stops: counter("run_stops", "Stops sent to executors, by response"),
             failures: counter("run_failures", "Runs that ended otherwise than well"),
+            forwards: counter("task_forwards", "Tasks handed to another keeper for lack of room"),
+            returned: counter("tasks_returned", "Tasks that keepers returned unstarted"),
             store: counter("store_calls", "Calls to the platform's store, by outcome"),
             response: meter
                 .f64_histogram("job_response_seconds")
@@ -82,6 +87,8 @@
     pub(crate) fn decided(&self, decision: &Decision) {
         match decision {
             Decision::RunEnded { .. } => self.failures.add(1, &[]),
+            Decision::Forward { .. } => self.forwards.add(1, &[]),
+            Decision::TaskEnded { end: End::NotRun, .. } => self.returned.add(1, &[]),
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
                 self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -127,6 +127,18 @@
         /// Age of that report.
         age: Span,
     },
+    /// A keeper handed a task that it can't start to another one.
+    Forward {
+        /// The run, as task name and run number.
+        run: CompactString,
+        /// The new keeper.
+        #[serde(serialize_with = "text")]
+        keeper: Home,
+        /// How many such tasks the new keeper had room for, by its latest report.
+        room: u32,
+        /// How long the task was queued at its old keeper.
+        waited: Span,
+    },
     /// A task was started on an executor.
     Start {
         /// The run, as task name and run number.
@@ -303,6 +315,8 @@
     HomeLost,
     /// The start got no response and the run is not listed.
     StartLost,
+    /// It was forwarded to this entry, and its home has not confirmed that in time.
+    Unconfirmed,
     /// It ran for several times its estimate.
     Overdue,
     /// This entry found it on the executor and does not know its task.
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -4,17 +4,18 @@
     Action, Cordon, Event, Message, Options,
     action::{Decision, Source},
     clock::Offset,
-    home::Jobs,
+    home::{Jobs, Peers},
     job::Task,
-    keeper::Keeper,
+    keeper::{Keeper, Queued},
     load::Load,
-    message::{Ended, Moved, Report},
+    message::{Ended, Forward, Moved, Report},
+    options::Supply,
     outdated::OutdatedPeers,
     reports::{Recipients, Reports},
     view::View,
     watch::ExecutorWatch,
 };
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::Home,
     unit::{Span, Time},
@@ -85,6 +86,7 @@
         }
         self.latest_event = now;
         self.stop_runs_of_unresponsive_homes(now, out);
+        self.keeper.expire_unconfirmed(now, out);
         self.handle_event(now, event, out);
         self.schedule(now, out);
         self.update_watch(now, out);
@@ -177,8 +179,8 @@
         match message {
             Message::Place(placement) => {
                 let offset = self.clocks.entry(from).or_default();
-                let stale = offset.age(now, placement.sent) > self.options.stale_after;
-                self.keeper.place(now, placement, stale);
+                let transit = offset.age(now, placement.sent);
+                self.keeper.place(now, placement, transit);
             }
             Message::Cancel(tasks) => self.keeper.cancel(now, &tasks, out),
             Message::Ended(ended) => {
@@ -198,11 +200,49 @@
                 let own = self.jobs.moved(now, from, &runs, out);
                 self.keeper.cancel(now, &own, out);
             }
+            Message::Forward(forward) => self.accept_forward(now, from, forward, out),
+            Message::Taken(runs) => self.jobs.taken(now, from, &runs, out),
+            Message::Confirmed(runs) => self.keeper.confirmed(from, &runs),
+            Message::Returned(ended) => self.keeper.returned(from, &ended),
             // Handled by the process, which parses the document.
             Message::Configuration { .. } => {}
         }
     }
 
+    /// Takes tasks that another keeper can't start, and tells their home before anything else.
+    fn accept_forward(&mut self, now: Time, from: Home, forward: Forward, out: &mut Vec<Action>) {
+        let transit = self.clocks.entry(from).or_default().age(now, forward.placement.sent);
+        let home = forward.placement.job.home;
+        let is_connected = self.view.is_connected_to(home);
+        let taken = self.keeper.accept_forward(now, from, forward, transit, is_connected, out);
+        if !taken.is_empty() {
+            out.push(Action::Send { to: home, message: Message::Taken(taken) });
+        }
+    }
+
+    /// Hands tasks that find no room here to keepers near this entry that have room.
+    fn forward(&mut self, now: Time, out: &mut Vec<Action>) {
+        let Self { me, options, jobs, keeper, view, .. } = self;
+        let mut near = None;
+        let choose = |queued: &Queued| {
+            let home = queued.task.job.home;
+            if home == *me {
+                return None;
+            }
+            let near = near.get_or_insert_with(|| near_keepers(options, &jobs.peers, view));
+            let is_eligible = |keeper: Home| {
+                keeper != home
+                    && near.contains(&keeper)
+                    && !queued.visited.contains(&keeper)
+                    && view.is_connection_likely(home, keeper)
+            };
+            let cores = queued.needs.cores.0;
+            let chosen = jobs.peers.most_room(now, cores, is_eligible);
+            chosen.inspect(|(keeper, _)| jobs.peers.reserve(*keeper, cores, 1))
+        };
+        keeper.forward_queued(now, choose, out);
+    }
+
     /// Applies a cordon unless a later one is known.
     fn set_cordon(&mut self, now: Time, cordon: Cordon, source: Source, out: &mut Vec<Action>) {
         if !self.keeper.set_cordon(cordon) {
@@ -314,9 +354,11 @@
             let own = self.jobs.expire(now, out);
             self.keeper.cancel(now, &own, out);
             for placement in self.jobs.place(now, self.keeper.room(now), out) {
-                self.keeper.place(now, placement, false);
+                self.keeper.place(now, placement, Span::ZERO);
             }
             self.keeper.start_queued(now, out);
+            self.forward(now, out);
+            self.keeper.return_queued(now);
             let ends = self.keeper.take_ends();
             if ends.is_empty() {
                 break;
@@ -379,18 +421,17 @@
             return;
         }
         let report = self.report(now);
+        let supply = self.keeper.supply(now);
         let recipients = Recipients {
             by_distance: self.view.by_distance(),
             pending: self.jobs.peers.with_pending().collect(),
             keepers: self.jobs.keepers(),
+            near_keepers: match supply {
+                Supply::Scarce => near_keepers(&self.options, &self.jobs.peers, &self.view),
+                Supply::Ample => Vec::new(),
+            },
         };
-        let due = self.reports.take_due(
-            now,
-            &report,
-            self.keeper.supply(now),
-            &recipients,
-            &self.options,
-        );
+        let due = self.reports.take_due(now, &report, supply, &recipients, &self.options);
         out.extend(due.into_iter().map(|to| report_to(to, &report)));
     }
 
@@ -414,6 +455,16 @@
     }
 }
 
+/// The keepers nearest to this entry that it forwards tasks to.
+fn near_keepers(options: &Options, peers: &Peers, view: &View) -> Vec<Home> {
+    if !options.forward {
+        return Vec::new();
+    }
+    let keepers: FxHashSet<Home> = peers.keepers().collect();
+    let near = view.by_distance().iter().filter(|home| keepers.contains(home));
+    near.take(options.forward_peers).copied().collect()
+}
+
 fn report_to(to: Home, report: &Report) -> Action {
     Action::Send { to, message: Message::Report(report.clone()) }
 }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -159,6 +159,9 @@
         if task.state != (TaskState::Placed { keeper: from }) || ended.run < task.run {
             return Vec::new();
         }
+        if from != self.me {
+            self.peers.record_end(ended.end == End::NotRun);
+        }
         task.run = task.run.max(ended.run + 1);
         if ended.end != End::Unsure {
             task.ended = Some(ended.run);
@@ -225,6 +228,27 @@
         Vec::new()
     }
 
+    /// Another keeper has taken these tasks from the one that they were sent to. Confirms or cancels
+    /// them there.
+    pub(crate) fn taken(&mut self, now: Time, by: Home, runs: &[Moved], out: &mut Vec<Action>) {
+        let unwanted = self.moved(now, by, runs, out);
+        debug_assert!(unwanted.is_empty(), "no keeper forwards a task to its home");
+        let confirmed: Vec<_> =
+            runs.iter().filter(|moved| self.is_placed(by, moved)).copied().collect();
+        if !confirmed.is_empty() {
+            out.push(Action::Send { to: by, message: Message::Confirmed(confirmed) });
+        }
+    }
+
+    /// Whether a keeper has a task's current run.
+    fn is_placed(&self, keeper: Home, moved: &Moved) -> bool {
+        let open = self.open.get(&moved.task.job.number);
+        let task = open.and_then(|open| open.tasks.get(usize::from(moved.task.index)));
+        task.is_some_and(|task| {
+            task.state == (TaskState::Placed { keeper }) && task.run == moved.run
+        })
+    }
+
     /// Records the new keeper of a run; returns whether the run is still wanted there.
     fn record_move(&mut self, now: Time, to: Home, moved: &Moved) -> bool {
         let stop_by = now + self.options.unsure_wait;
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -1,5 +1,6 @@
 //! The keeper role of an entry: the executors that it keeps, and the tasks queued for them.
 
+mod forward;
 mod incarnation;
 mod lease;
 mod poll;
@@ -9,11 +10,13 @@
 mod stop;
 mod transfer;
 
+pub(crate) use queue::Queued;
 pub(crate) use room::Offer;
 
+use forward::Forwarding;
 use incarnation::Age;
 use lease::{Lease, OutstandingPoll, Phase, State, TrackedRun};
-use queue::{Queue, Queued};
+use queue::Queue;
 
 use crate::{
     Action, Cordon, Executor, Job, Message, Options,
@@ -51,6 +54,7 @@
     cordon: Cordon,
     leases: FxHashMap<EndpointId, Lease>,
     queue: Queue,
+    forwarding: Forwarding,
     health: Monitor,
     speeds: Speeds,
     /// Moving average of the resources that a task needs.
@@ -74,6 +78,7 @@
             cordon: Cordon::default(),
             leases: FxHashMap::default(),
             queue: Queue::default(),
+            forwarding: Forwarding::default(),
             health: Monitor::new(),
             speeds: Speeds::default(),
             usual_needs: Resources::SLOT,
@@ -89,19 +94,23 @@
         std::mem::take(&mut self.ends)
     }
 
-    /// Whether no task is queued and nothing runs on a kept executor.
+    /// Whether no task is queued or was forwarded lately, and nothing runs on a kept executor.
     pub(crate) fn is_idle(&self) -> bool {
-        self.queue.is_empty() && self.leases.values().all(|lease| lease.runs.is_empty())
+        self.queue.is_empty()
+            && self.forwarding.is_empty()
+            && self.leases.values().all(|lease| lease.runs.is_empty())
     }
 
     /// Queues tasks, or hands them back if they were in transit for too long.
-    pub(crate) fn place(&mut self, now: Time, placement: Placement, stale: bool) {
+    pub(crate) fn place(&mut self, now: Time, placement: Placement, transit: Span) {
+        let stale = transit > self.options.stale_after;
         for place in &placement.tasks {
-            let queued = Queued::new(now, &placement, place);
+            let queued = Queued::new(now, &placement, place, transit);
             match stale {
                 true => self.ends.push(queued.ended(End::NotRun)),
                 false => {
                     self.update_usual_needs(&placement.needs);
+                    self.forwarding.forget(queued.task);
                     self.queue.push(queued);
                 }
             }
@@ -260,6 +269,7 @@
 
     /// Does the work that is due by time.
     pub(crate) fn tick(&mut self, now: Time, view: &View, out: &mut Vec<Action>) {
+        self.tick_forwarding(now);
         let mut changes = Vec::new();
         self.health.tick(now, &mut changes);
         for (id, change) in changes {
--- a/components/runs/src/keeper/queue.rs
+++ b/components/runs/src/keeper/queue.rs
@@ -6,7 +6,7 @@
 };
 use compact_str::CompactString;
 use site::{
-    id::{EndpointId, ServiceId},
+    id::{EndpointId, Home, ServiceId},
     unit::{Resources, Span, Time},
 };
 use std::sync::Arc;
@@ -29,10 +29,14 @@
     pub(crate) start_by: Time,
     pub(crate) avoid: Vec<EndpointId>,
     pub(crate) since: Time,
+    /// Time from when its home sent it until `since`, beyond the shortest transit times.
+    pub(crate) transit: Span,
+    /// Keepers that forwarded it, the latest last.
+    pub(crate) visited: Vec<Home>,
 }
 
 impl Queued {
-    pub(crate) fn new(now: Time, placement: &Placement, place: &PlacedTask) -> Self {
+    pub(crate) fn new(now: Time, placement: &Placement, place: &PlacedTask, transit: Span) -> Self {
         let Placement { job, name, spec, needs, label, per_executor, estimate, service, .. } =
             placement;
         Self {
@@ -49,9 +53,40 @@
             start_by: now + (placement.due_in - *estimate),
             avoid: place.avoid.clone(),
             since: now,
+            transit,
+            visited: Vec::new(),
         }
     }
 
+    /// The task as its home placed it, without its position and run.
+    pub(crate) fn placement(&self, now: Time) -> Placement {
+        Placement {
+            sent: now,
+            job: self.task.job,
+            name: self.run.job.clone(),
+            spec: self.spec.clone(),
+            needs: self.needs,
+            label: self.label.clone(),
+            per_executor: self.per_executor,
+            estimate: self.estimate,
+            service: self.service,
+            begun: self.begun,
+            due_in: (self.start_by + self.estimate).since(now),
+            give_up_in: self.give_up.since(now),
+            tasks: Vec::new(),
+        }
+    }
+
+    /// Its part of a placement.
+    pub(crate) fn placed(&self) -> PlacedTask {
+        PlacedTask { index: self.task.index, run: self.run.number, avoid: self.avoid.clone() }
+    }
+
+    /// Time since its home sent it.
+    pub(crate) fn elapsed(&self, now: Time) -> Span {
+        self.transit + now.since(self.since)
+    }
+
     pub(crate) fn ended(&self, end: End) -> Ended {
         Ended { task: self.task, run: self.run.number, executor: None, end }
     }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -41,18 +41,28 @@
             }
             match self.choose_executor(now, &queued) {
                 Some(executor) => self.start(now, executor, queued, out),
-                None if now.since(queued.since) > self.options.queue_hold => {
-                    self.ends.push(queued.ended(End::NotRun));
-                }
                 None => self.queue.push(queued),
             }
         }
     }
 
+    /// Hands back the queued tasks that have waited here for too long.
+    pub(crate) fn return_queued(&mut self, now: Time) {
+        let hold = self.options.queue_hold;
+        for queued in self.queue.extract(|queued| now.since(queued.since) > hold) {
+            self.ends.push(queued.ended(End::NotRun));
+        }
+    }
+
+    /// Whether another run of a queued task is on an executor kept here.
+    pub(super) fn has_other_run(&self, queued: &Queued) -> bool {
+        self.leases.values().any(|lease| lease.runs.keys().any(|run| queued.is_same_task(run)))
+    }
+
     /// Chooses the executor for a task: among those with room the fastest, and of these the one
     /// with the least capacity left afterwards.
     fn choose_executor(&self, now: Time, queued: &Queued) -> Option<EndpointId> {
-        if self.leases.values().any(|lease| lease.runs.keys().any(|run| queued.is_same_task(run))) {
+        if self.has_other_run(queued) {
             return None;
         }
         let suits = |lease: &&Lease| {
--- a/components/runs/src/keeper/stop.rs
+++ b/components/runs/src/keeper/stop.rs
@@ -19,6 +19,7 @@
     /// Gives up tasks whose answers nobody needs.
     pub(crate) fn cancel(&mut self, now: Time, tasks: &[Task], out: &mut Vec<Action>) {
         self.abandon(now, StopCause::Cancelled, |task| tasks.contains(&task), out);
+        self.forwarding.cancel(tasks, out);
     }
 
     /// Gives up the tasks of a home that can't be reached.
@@ -26,7 +27,7 @@
         self.abandon(now, StopCause::HomeLost, |task| task.job.home == home, out);
     }
 
-    fn abandon(
+    pub(super) fn abandon(
         &mut self,
         now: Time,
         why: StopCause,
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -94,8 +94,9 @@
         executors.iter().for_each(|id| self.record_claim_answer(now, *id, Some(from), out));
     }
 
-    /// Handles the loss of the connection to an entry that may have been sent claims.
+    /// Handles the loss of the connection to an entry that may have been sent claims or tasks.
     pub(crate) fn peer_lost(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
+        self.new_keeper_lost(now, peer);
         let was_asked = |lease: &&Lease| lease.claim_recipients.contains(&peer);
         let ids: Vec<_> = self.leases.values().filter(was_asked).map(|l| l.executor.id).collect();
         self.disclaimed(now, peer, &ids, out);
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -10,7 +10,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use site::{
-    id::{EndpointId, ServiceId},
+    id::{EndpointId, Home, ServiceId},
     unit::{Resources, Revision, Span, Time},
 };
 use std::sync::Arc;
@@ -42,6 +42,16 @@
         /// The document as it was read.
         document: Arc<[u8]>,
     },
+    /// Hands tasks of another entry that the sender can't start to the receiver.
+    Forward(Forward),
+    /// The sender is now the keeper of these tasks, which another keeper forwarded to it. The
+    /// receiver, their home, confirms or cancels them.
+    Taken(Vec<Moved>),
+    /// The sender, the home of these tasks, knows that the receiver is their keeper.
+    Confirmed(Vec<Moved>),
+    /// Forwarded tasks that the sender does not keep: the receiver, which forwarded them, has to
+    /// tell their homes.
+    Returned(Vec<Ended>),
 }
 
 /// Tasks of one job, sent to one keeper.
@@ -75,6 +85,17 @@
     pub tasks: Vec<PlacedTask>,
 }
 
+/// Tasks of one job that a keeper forwards to another one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Forward {
+    /// The tasks, as their home placed them. `sent` is by the forwarding keeper's clock.
+    pub placement: Placement,
+    /// Time since their home sent them.
+    pub elapsed: Span,
+    /// Keepers that had them before the sender.
+    pub visited: Vec<Home>,
+}
+
 /// One task of a placement.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacedTask {
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -143,6 +143,20 @@
     /// A task that took this long to reach its keeper is not started: its home may have given it
     /// up, or may be gone. Several times the usual transit time of a few milliseconds.
     pub stale_after: Span,
+    /// Whether a keeper hands a task that it can't start to another keeper with room instead of
+    /// returning it to its home. Keepers with little room then report it to each other more often.
+    pub forward: bool,
+    /// How long a task waits at its keeper before it is forwarded: room may become free here.
+    pub forward_after: Span,
+    /// Number of keepers near a keeper that get its reports of scarce room and that it forwards
+    /// tasks to. Bounds what reports between keepers cost in a large site.
+    pub forward_peers: usize,
+    /// Minimum time between two reports of scarce room to those keepers, or
+    /// `report_interval_share` per peer where that is longer.
+    pub report_interval_keepers: Span,
+    /// Whether homes use a smaller part of a keeper's reported room the older the report is, the
+    /// smaller the more tasks were returned unstarted lately.
+    pub shrink_offers: bool,
 }
 
 impl Options {
@@ -154,6 +168,11 @@
         }
     }
 
+    /// Minimum time between two reports of scarce room to other keepers, with this number of peers.
+    pub(crate) fn keeper_interval(&self, peers: usize) -> Span {
+        self.report_interval_keepers.max(per_peer(self.report_interval_share, peers))
+    }
+
     /// Time after which all peers get a report, with this number of peers.
     pub(crate) fn refresh_all(&self, peers: usize, room: Supply) -> Span {
         match room {
@@ -235,6 +254,11 @@
             lapse_wait: Span::from_millis(1_250),
             unsure_wait: Span::from_millis(800),
             stale_after: Span::from_millis(300),
+            forward: true,
+            forward_after: Span::ZERO,
+            forward_peers: 8,
+            report_interval_keepers: Span::from_millis(15),
+            shrink_offers: false,
         }
     }
 }
--- a/components/runs/src/reports.rs
+++ b/components/runs/src/reports.rs
@@ -18,6 +18,8 @@
     pub(crate) pending: FxHashSet<Home>,
     /// Keepers of this entry's tasks. They stop those tasks if they get no report for too long.
     pub(crate) keepers: FxHashSet<Home>,
+    /// Keepers that forward tasks to this entry, while its room is scarce.
+    pub(crate) near_keepers: Vec<Home>,
 }
 
 /// The latest report to each group of peers.
@@ -29,6 +31,8 @@
     near: LastReport,
     /// To the other peers, at least to those that have tasks of this entry.
     far: LastReport,
+    /// To keepers near this entry, beside those that are near peers.
+    near_keepers: LastReport,
     /// To all peers.
     all: LastReport,
 }
@@ -60,14 +64,14 @@
         recipients: &Recipients<'_>,
         options: &Options,
     ) -> Vec<Home> {
-        let Recipients { by_distance, pending, keepers } = recipients;
+        let Recipients { by_distance, pending, keepers, near_keepers } = recipients;
         let is_quiet = self.is_quiet(report);
         let near_peers = if is_quiet { 0 } else { options.near_peers };
         let (near, far) = by_distance.split_at(by_distance.len().min(near_peers));
         let interval = options.near_interval(by_distance.len(), supply);
         let near_is_due = self.near_is_due(now, report, interval, options);
         let urgent = report.has_urgent_change(&self.near.report);
-        let mut to = Vec::new();
+        let mut to: Vec<Home> = Vec::new();
         if near_is_due {
             to.extend(near);
             self.near = LastReport { report: report.clone(), at: now };
@@ -86,6 +90,15 @@
                 self.all = LastReport { report: report.clone(), at: now };
             }
         }
+        if !near_keepers.is_empty()
+            && self.near_keepers.age(now) >= options.keeper_interval(by_distance.len())
+            && report.room != self.near_keepers.report.room
+        {
+            let others = near_keepers.iter().filter(|peer| !to.contains(peer));
+            let others: Vec<_> = others.copied().collect();
+            to.extend(others);
+            self.near_keepers = LastReport { report: report.clone(), at: now };
+        }
         let reported: FxHashSet<Home> = to.iter().copied().collect();
         let urgent_peers = by_distance.iter().filter(|peer| pending.contains(peer));
         let urgent_peers: Vec<_> = urgent_peers.take(options.near_peers).copied().collect();
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -199,6 +199,15 @@
         self.partners.iter().all(|home| self.connected.contains(home))
     }
 
+    pub(crate) fn is_connected_to(&self, peer: Home) -> bool {
+        self.connected.contains(&peer)
+    }
+
+    /// Whether two other entries are connected, as far as the layout of connections tells.
+    pub(crate) fn is_connection_likely(&self, a: Home, b: Home) -> bool {
+        a.data_centre == b.data_centre || self.listed.len() <= mesh::MAX_FULL_MESH_ENTRIES
+    }
+
     pub(crate) fn keepers(&self) -> &[Home] {
         &self.keepers
     }
--- a/components/runs/tests/common/mod.rs
+++ b/components/runs/tests/common/mod.rs
@@ -4,3 +4,4 @@
 
 pub(crate) mod executors;
 pub(crate) mod fixture;
+pub(crate) mod network;
