runs: a keeper holds tasks that it may forward for 20 ms

Room that becomes free at any keeper near is found from there, while a home goes by older reports. Reports between keepers no longer repeat those to near peers.

--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -58,6 +58,23 @@
     );
 }
 
+/// Guards against a log reader that doesn't know the way of a forwarded task.
+#[test]
+fn a_task_that_was_forwarded_and_not_confirmed_is_named() {
+    let forward = r#"{"time_ms":1002,"node":"entry-2","decision":"forward","run":"JOB.0.0.1#1","keeper":"a-b-d","room":2,"waited":"0s"}"#;
+    let stop = r#"{"time_ms":1253,"node":"entry-3","decision":"stop-run","run":"JOB.0.0.1#1","executor":"i-7","why":"unconfirmed"}"#;
+    let answer = r#"{"time_ms":1500,"node":"entry-1","decision":"answer","job":"JOB","answer":"given-up","why":"out-of-time","after":"500ms","waited":"1ms","late_by":"200ms","waiting":0,"room":3}"#;
+    let log = [ADMIT, PLACE, forward, START, stop, answer];
+    assert_eq!(
+        cause(&log),
+        format!(
+            "given up after it began: run {JOB}.0.0.1#1 at executor i-7 was stopped, since its home \
+             did not confirm its new keeper in time"
+        )
+    );
+    assert!(history(&log).lines().iter().any(|line| line.kind == "forward"));
+}
+
 #[test]
 fn an_unresponsive_executor_is_distinguished_from_a_slow_one() {
     let silent = r#"{"time_ms":1600,"node":"entry-2","decision":"keep","executor":"i-7","change":"silent","token":3,"runs":1}"#;
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -358,7 +358,7 @@
             }
             self.keeper.start_queued(now, out);
             self.forward(now, out);
-            self.keeper.return_queued(now);
+            self.keeper.return_queued(now, self.me);
             let ends = self.keeper.take_ends();
             if ends.is_empty() {
                 break;
--- a/components/runs/src/keeper/forward.rs
+++ b/components/runs/src/keeper/forward.rs
@@ -134,13 +134,21 @@
         queued.visited.len() < MAX_FORWARDS
             && queued.label.is_none()
             && queued.elapsed(now) <= MAX_ELAPSED
-            && now.since(queued.since) >= self.options.forward_after
             // Its home learns of the keepers in their order.
             && !self.forwarding.unconfirmed.contains_key(&queued.task)
             && self.forwarding.notes.len() < MAX_NOTES
             && !self.has_other_run(queued)
     }
 
+    /// How long a task is held here until there is room for it. `me` is this entry: its own tasks are
+    /// not forwarded, since it places them itself.
+    pub(super) fn hold(&self, me: Home, queued: &Queued) -> Span {
+        match self.options.forward && queued.label.is_none() && queued.task.job.home != me {
+            true => self.options.forward_hold,
+            false => self.options.queue_hold,
+        }
+    }
+
     /// Queues tasks that another keeper forwarded, and returns them; `transit` is how long they took
     /// from that keeper. Tasks that can't be kept are returned to it: those of a home that is not
     /// connected, and those that their home sent too long ago.
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -9,7 +9,7 @@
     message::End,
 };
 use site::{
-    id::EndpointId,
+    id::{EndpointId, Home},
     unit::{Span, Time},
 };
 use std::cmp::Reverse;
@@ -47,10 +47,12 @@
     }
 
     /// Hands back the queued tasks that have waited here for too long.
-    pub(crate) fn return_queued(&mut self, now: Time) {
-        let hold = self.options.queue_hold;
-        for queued in self.queue.extract(|queued| now.since(queued.since) > hold) {
-            self.ends.push(queued.ended(End::NotRun));
+    pub(crate) fn return_queued(&mut self, now: Time, me: Home) {
+        for queued in self.queue.drain() {
+            match now.since(queued.since) > self.hold(me, &queued) {
+                true => self.ends.push(queued.ended(End::NotRun)),
+                false => self.queue.push(queued),
+            }
         }
     }
 
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -146,8 +146,9 @@
     /// Whether a keeper hands a task that it can't start to another keeper with room instead of
     /// returning it to its home. Keepers with little room then report it to each other more often.
     pub forward: bool,
-    /// How long a task waits at its keeper before it is forwarded: room may become free here.
-    pub forward_after: Span,
+    /// How long a keeper holds a task that it may forward before it hands it back to its home.
+    /// Above `queue_hold`: room that becomes free at any keeper near is found from here.
+    pub forward_hold: Span,
     /// Number of keepers near a keeper that get its reports of scarce room and that it forwards
     /// tasks to. Bounds what reports between keepers cost in a large site.
     pub forward_peers: usize,
@@ -255,7 +256,7 @@
             unsure_wait: Span::from_millis(800),
             stale_after: Span::from_millis(300),
             forward: true,
-            forward_after: Span::ZERO,
+            forward_hold: Span::from_millis(20),
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
             shrink_offers: false,
--- a/components/runs/src/reports.rs
+++ b/components/runs/src/reports.rs
@@ -90,12 +90,13 @@
                 self.all = LastReport { report: report.clone(), at: now };
             }
         }
-        if !near_keepers.is_empty()
+        // Those that are near peers get reports as often anyway.
+        let mut others = near_keepers.iter().filter(|peer| !near.contains(peer)).peekable();
+        if others.peek().is_some()
             && self.near_keepers.age(now) >= options.keeper_interval(by_distance.len())
             && report.room != self.near_keepers.report.room
         {
-            let others = near_keepers.iter().filter(|peer| !to.contains(peer));
-            let others: Vec<_> = others.copied().collect();
+            let others: Vec<_> = others.filter(|peer| !to.contains(peer)).copied().collect();
             to.extend(others);
             self.near_keepers = LastReport { report: report.clone(), at: now };
         }
