--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -159,9 +159,6 @@
         if task.state != (TaskState::Placed { keeper: from }) || ended.run < task.run {
             return Vec::new();
         }
-        if from != self.me {
-            self.peers.record_end(ended.end == End::NotRun);
-        }
         task.run = task.run.max(ended.run + 1);
         if ended.end != End::Unsure {
             task.ended = Some(ended.run);
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -15,19 +15,10 @@
 /// entries; the end of a connection is noticed after 0.8 s.
 const MAX_REPORT_AGE: Span = Span::from_millis(4_000);
 
-/// Age at which half of the returned share is subtracted from reported room: a usual interval
-/// between reports of a large site.
-const HALF_AGE: Span = Span::from_millis(50);
-
-/// Divisor of the moving average of returned tasks: the inverse of the weight of one task.
-const RETURNED_WEIGHT: f32 = 64.0;
-
 /// The connected entries and their reports.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     peers: FxHashMap<Home, Peer>,
-    /// Moving average of the share of tasks that peers returned unstarted.
-    returned: f32,
 }
 
 /// The latest report of one entry.
@@ -61,20 +52,6 @@
         self.peers.iter().filter(move |(_, p)| usable(p)).map(|(home, p)| (*home, &p.report.room))
     }
 
-    /// Records whether a peer returned a task unstarted.
-    pub(crate) fn record_end(&mut self, is_returned: bool) {
-        let value = if is_returned { 1.0 } else { 0.0 };
-        self.returned += (value - self.returned) / RETURNED_WEIGHT;
-    }
-
-    /// The part of a peer's room for `count` tasks that may be used. It shrinks as the report ages,
-    /// the more so the more tasks were returned lately.
-    pub(crate) fn shrunk(&self, now: Time, peer: Home, count: u32) -> u32 {
-        let age = self.age(now, peer).0 as f32;
-        let gone = self.returned * age / (age + HALF_AGE.0 as f32);
-        (count as f32 * (1.0 - gone)).round() as u32
-    }
-
     /// The peer with the most room for tasks that need `cores`, among those that `is_eligible`
     /// selects, and how many it has room for.
     pub(crate) fn most_room(
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -88,11 +88,7 @@
         let own = (!own.is_empty()).then_some((self.me, own));
         let rooms = self.peers.with_room(now).chain(own);
         let mut candidates: Vec<_> = rooms
-            .map(|(keeper, room)| Candidate {
-                keeper,
-                count: self.offered(now, keeper, room.count(cores)),
-                ahead: room.ahead,
-            })
+            .map(|(keeper, room)| Candidate { keeper, count: room.count(cores), ahead: room.ahead })
             .collect();
         let far = |home: Home| home.data_centre != self.me.data_centre;
         let subject = rendezvous::rank(key.home, key.number);
@@ -107,14 +103,6 @@
         candidates
     }
 
-    /// How much of a keeper's room for `count` tasks may be used.
-    fn offered(&self, now: Time, keeper: Home, count: u32) -> u32 {
-        match self.options.shrink_offers && keeper != self.me {
-            true => self.peers.shrunk(now, keeper, count),
-            false => count,
-        }
-    }
-
     /// Marks the tasks of a share as placed; returns the placement for its keeper.
     fn send(
         &mut self,
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -155,9 +155,6 @@
     /// Minimum time between two reports of scarce room to those keepers, or
     /// `report_interval_share` per peer where that is longer.
     pub report_interval_keepers: Span,
-    /// Whether homes use a smaller part of a keeper's reported room the older the report is, the
-    /// smaller the more tasks were returned unstarted lately.
-    pub shrink_offers: bool,
 }
 
 impl Options {
@@ -259,7 +256,6 @@
             forward_hold: Span::from_millis(20),
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
-            shrink_offers: false,
         }
     }
 }
