--- a/components/runs/tests/forward.rs
+++ b/components/runs/tests/forward.rs
@@ -3,6 +3,9 @@
 mod common;
 
 use common::network::{Network, entry, half_job};
+use lab::simulation::{Fault, Plan, Simulation};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use runs::{Decision, Message, Options, job::Answer, message::End};
 use site::{
     id::{Home, WaiterId},
@@ -135,7 +138,7 @@
     scene.network.kill(scene.first);
     // The loss is noticed after 800 ms, and the task is placed 1,250 ms later.
     scene.network.wait(2_000);
-    assert_eq!(scene.started(), []);
+    assert!(scene.started().is_empty());
     scene.network.wait(100);
     assert_eq!(scene.started(), [2]);
     scene.complete(2);
@@ -276,7 +279,7 @@
         let distinct: BTreeSet<_> = way.iter().collect();
         assert!(way.len() <= 4 && distinct.len() == way.len() / 2 + 1, "{way:?}");
     }
-    assert_eq!(scene.started(), []);
+    assert!(scene.started().is_empty());
 }
 
 /// Guards against a task that its home forgets: the home believes that the first keeper has it.
@@ -315,6 +318,43 @@
     assert_eq!((scene.forwards(), scene.started()), (vec![], vec![1]));
 }
 
+/// Guards against combinations of failures that no test here names. The simulation checks at each
+/// start that no other run of the task is there, and that no rejected job runs.
+#[test]
+fn forwarded_tasks_never_run_twice_at_once_in_an_overloaded_site_with_faults() {
+    let mut forwarded = 0;
+    for seed in 0..24 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let faults = (0..14).map(|number| {
+            let entry = random.random_range(0..6);
+            let executor = random.random_range(0..24);
+            let ms = random.random_range(100..2_500);
+            let fault = match number % 5 {
+                0 => Fault::Kill { entry },
+                1 => Fault::Cut { entry, ms },
+                2 => Fault::Freeze { entry, ms },
+                3 => Fault::Dark { executor, ms },
+                _ => Fault::Crash { executor },
+            };
+            (500 + number * 500 + random.random_range(0..400), fault)
+        });
+        let plan = Plan {
+            entries: 6,
+            data_centres: 3,
+            executors: 24,
+            rate: 100,
+            seconds: 8,
+            lost_orders: (seed % 2 == 0).then_some(30),
+            faults: faults.collect(),
+            ..Plan::default()
+        };
+        let mut simulation = Simulation::new(plan, seed);
+        simulation.play();
+        forwarded += simulation.traffic.forwarded;
+    }
+    assert!(forwarded > 1_000, "{forwarded} tasks forwarded");
+}
+
 /// Guards against a second run of a task whose home never heard of the first.
 #[test]
 fn the_options_leave_time_for_the_end_of_an_unknown_run() {
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -43,6 +43,7 @@
     figure("worst zone", Tally::worst_data_centre);
     figure("cores used", |tally| tally.used);
     figure("returned", |tally| tally.traffic.returned_share());
+    figure("forwarded", |tally| tally.traffic.forwarded as f64);
     figure("messages", |tally| tally.traffic.messages as f64);
     figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
     figure("refused p50 ms", |tally| tally.refusal_ms.0);
--- a/lab/src/simulation/traffic.rs
+++ b/lab/src/simulation/traffic.rs
@@ -10,6 +10,8 @@
     pub placed: u64,
     /// Tasks that keepers returned to their homes unstarted.
     pub returned: u64,
+    /// Tasks that keepers handed to other keepers.
+    pub forwarded: u64,
     /// Messages between entries.
     pub messages: u64,
     /// Bytes of those messages, without their framing.
@@ -22,6 +24,7 @@
         match action {
             Action::Log(Decision::Place { tasks, .. }) => self.placed += *tasks as u64,
             Action::Log(Decision::TaskEnded { end: End::NotRun, .. }) => self.returned += 1,
+            Action::Log(Decision::Forward { .. }) => self.forwarded += 1,
             Action::Send { message, .. } => {
                 self.messages += 1;
                 self.bytes += size(message);
