--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -103,6 +103,7 @@
     match decision {
         Decision::Admit { .. }
         | Decision::Place { .. }
+        | Decision::Forward { .. }
         | Decision::Start { .. }
         | Decision::LateRun { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -10,6 +10,7 @@
     action::Outlook,
     executor::{Kind, Response, StartResponse},
     job::Answer,
+    message::End,
 };
 use site::unit::Span;
 use telemetry::{Exporter, MetricsError};
@@ -28,6 +29,8 @@
     failures: Counter<u64>,
     choices: Counter<u64>,
     late_runs: Counter<u64>,
+    forwards: Counter<u64>,
+    returned: Counter<u64>,
     store: Counter<u64>,
     response: Histogram<f64>,
     cordons: Gauge<u64>,
@@ -53,6 +56,8 @@
             failures: counter("run_failures", "Runs that ended otherwise than well"),
             choices: counter("run_choices", "Starts by kind of executor and outlook"),
             late_runs: counter("runs_late", "Runs that completed after the deadline, by kind"),
+            forwards: counter("task_forwards", "Tasks handed to another keeper for lack of room"),
+            returned: counter("tasks_returned", "Tasks that keepers returned unstarted"),
             store: counter("store_calls", "Calls to the platform's store, by outcome"),
             response: meter
                 .f64_histogram("job_response_seconds")
@@ -101,6 +106,8 @@
                     .add(1, &[kind_label(kind.as_ref()), KeyValue::new("outlook", outlook)]);
             }
             Decision::LateRun { kind, .. } => self.late_runs.add(1, &[kind_label(kind.as_ref())]),
+            Decision::Forward { .. } => self.forwards.add(1, &[]),
+            Decision::TaskEnded { end: End::NotRun, .. } => self.returned.add(1, &[]),
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
                 self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -3,6 +3,7 @@
 use crate::{
     load::{Load, Summary},
     message::{Report, Room},
+    speed::Factor,
 };
 use rustc_hash::FxHashMap;
 use site::{
@@ -52,6 +53,26 @@
         self.peers.iter().filter(move |(_, p)| usable(p)).map(|(home, p)| (*home, &p.report.room))
     }
 
+    /// The peer with the most room for tasks that need `cores`, among those that `is_eligible`
+    /// selects, and how many it has room for on executors at least as fast as `slowest`.
+    pub(crate) fn most_room(
+        &self,
+        now: Time,
+        cores: u32,
+        slowest: Option<Factor>,
+        is_eligible: impl Fn(Home) -> bool,
+    ) -> Option<(Home, u32)> {
+        let rooms = self.with_room(now).filter(|(home, _)| is_eligible(*home));
+        let counts = rooms.map(|(home, room)| (home, room.count_for(cores, slowest)));
+        counts.filter(|(_, count)| *count > 0).max_by_key(|(home, count)| (*count, *home))
+    }
+
+    /// Peers that keep executors.
+    pub(crate) fn keepers(&self) -> impl Iterator<Item = Home> {
+        let keeps = |(_, peer): &(&Home, &Peer)| peer.report.capacity > 0;
+        self.peers.iter().filter(keeps).map(|(home, _)| *home)
+    }
+
     /// Peers with pending work.
     pub(crate) fn with_pending(&self) -> impl Iterator<Item = Home> {
         let is_pending = |(_, peer): &(&Home, &Peer)| peer.report.load.pending > 0;
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -75,11 +75,11 @@
                 let count = share.tasks.len() as u32;
                 let Some(placement) = self.send(now, key, &share, out) else { continue };
                 if share.keeper == self.me {
-                    reserve(&mut own, cores, count, slowest);
+                    own.reserve_for(cores, count, slowest);
                     placements.push(placement);
                 } else {
                     if let Some(room) = self.peers.room_mut(share.keeper) {
-                        reserve(room, cores, count, slowest);
+                        room.reserve_for(cores, count, slowest);
                     }
                     let message = Message::Place(placement);
                     out.push(Action::Send { to: share.keeper, message });
@@ -91,7 +91,7 @@
 
     /// The speed of the fastest executors of all keepers, this entry included; `None` if executors
     /// are not known to differ.
-    fn fastest(&self, now: Time, own: &Room) -> Option<Factor> {
+    pub(crate) fn fastest(&self, now: Time, own: &Room) -> Option<Factor> {
         let rooms = self.peers.rooms(now).chain([own]);
         let mut fastest: Vec<_> = rooms.filter_map(Room::fastest).collect();
         fastest.sort_unstable();
@@ -117,10 +117,7 @@
         let rooms = self.peers.with_room(now).chain(own);
         let mut candidates: Vec<_> = rooms
             .map(|(keeper, room)| {
-                let count = match slowest {
-                    Some(slowest) => room.count_within(cores, slowest),
-                    None => room.count(cores),
-                };
+                let count = room.count_for(cores, slowest);
                 Candidate { keeper, count, ahead: room.ahead }
             })
             .collect();
@@ -180,14 +177,6 @@
     shares
 }
 
-/// Subtracts tasks that were sent from a keeper's room.
-fn reserve(room: &mut Room, cores: u32, tasks: u32, slowest: Option<Factor>) {
-    match slowest {
-        Some(slowest) => room.reserve_within(cores, tasks, slowest),
-        None => room.reserve(cores, tasks),
-    }
-}
-
 /// Marks the tasks of a share as placed.
 fn placement(now: Time, open: &mut OpenJob, share: &Share) -> Placement {
     let begun = open.has_begun(now);
--- a/components/runs/src/keeper/choice.rs
+++ b/components/runs/src/keeper/choice.rs
@@ -54,7 +54,7 @@
 impl Keeper {
     /// Chooses the executor for a task; `None` if it has to wait.
     pub(super) fn choose_executor(&self, now: Time, queued: &Queued) -> Option<Chosen> {
-        if self.leases.values().any(|lease| lease.runs.keys().any(|run| queued.is_same_task(run))) {
+        if self.has_other_run(queued) {
             return None;
         }
         match self.considers_speed() {
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -9,7 +9,7 @@
     message::End,
 };
 use site::{
-    id::EndpointId,
+    id::{EndpointId, Home},
     unit::{Span, Time},
 };
 
@@ -36,14 +36,26 @@
             }
             match self.choose_executor(now, &queued) {
                 Some(chosen) => self.start(now, chosen, queued, out),
-                None if now.since(queued.since) > self.options.queue_hold => {
-                    self.ends.push(queued.ended(End::NotRun));
-                }
                 None => self.queue.push(queued),
             }
         }
     }
 
+    /// Hands back the queued tasks that have waited here for too long.
+    pub(crate) fn return_queued(&mut self, now: Time, me: Home) {
+        for queued in self.queue.drain() {
+            match now.since(queued.since) > self.hold(me, &queued) {
+                true => self.ends.push(queued.ended(End::NotRun)),
+                false => self.queue.push(queued),
+            }
+        }
+    }
+
+    /// Whether another run of a queued task is on an executor kept here.
+    pub(super) fn has_other_run(&self, queued: &Queued) -> bool {
+        self.leases.values().any(|lease| lease.runs.keys().any(|run| queued.is_same_task(run)))
+    }
+
     fn start(&mut self, now: Time, chosen: Chosen, queued: Queued, out: &mut Vec<Action>) {
         let span = self.options.lease;
         let Chosen { executor: id, kind, outlook, is_demanding } = chosen;
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -11,7 +11,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use site::{
-    id::{EndpointId, ServiceId},
+    id::{EndpointId, Home, ServiceId},
     unit::{Resources, Revision, Span, Time},
 };
 use std::{cmp::Reverse, iter, sync::Arc};
@@ -43,6 +43,16 @@
         /// The document as it was read.
         document: Arc<[u8]>,
     },
+    /// Hands tasks of another entry that the sender can't start to the receiver.
+    Forward(Forward),
+    /// The sender is now the keeper of these tasks, which another keeper forwarded to it. The
+    /// receiver, their home, confirms or cancels them.
+    Taken(Vec<Moved>),
+    /// The sender, the home of these tasks, knows that the receiver is their keeper.
+    Confirmed(Vec<Moved>),
+    /// Forwarded tasks that the sender does not keep: the receiver, which forwarded them, has to
+    /// tell their homes.
+    Returned(Vec<Ended>),
 }
 
 /// Tasks of one job, sent to one keeper.
@@ -78,6 +88,17 @@
     pub stretch: Stretch,
 }
 
+/// Tasks of one job that a keeper forwards to another one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Forward {
+    /// The tasks, as their home placed them. `sent` is by the forwarding keeper's clock.
+    pub placement: Placement,
+    /// Time since their home sent them.
+    pub elapsed: Span,
+    /// Keepers that had them before the sender.
+    pub visited: Vec<Home>,
+}
+
 /// One task of a placement.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlacedTask {
@@ -213,6 +234,15 @@
         self.cores.iter().map(|free| free / cores.max(1)).sum()
     }
 
+    /// How many tasks that need `cores` fit on executors that are at least as fast as `slowest`, or on
+    /// any if that is `None`.
+    pub(crate) fn count_for(&self, cores: u32, slowest: Option<Factor>) -> u32 {
+        match slowest {
+            Some(slowest) => self.count_within(cores, slowest),
+            None => self.count(cores),
+        }
+    }
+
     /// How many tasks that need `cores` fit on executors that are at least as fast as `slowest`.
     pub fn count_within(&self, cores: u32, slowest: Factor) -> u32 {
         let fast = self.factors().zip(&self.cores).filter(|(factor, _)| *factor <= slowest);
@@ -237,6 +267,15 @@
         }
     }
 
+    /// Subtracts tasks that were sent and that start on executors at least as fast as `slowest`, or on
+    /// any if that is `None`.
+    pub(crate) fn reserve_for(&mut self, cores: u32, tasks: u32, slowest: Option<Factor>) {
+        match slowest {
+            Some(slowest) => self.reserve_within(cores, tasks, slowest),
+            None => self.reserve(cores, tasks),
+        }
+    }
+
     /// The same for tasks that only start on executors at least as fast as `slowest`, and on the
     /// slowest of these.
     pub fn reserve_within(&mut self, cores: u32, tasks: u32, slowest: Factor) {
