--- a/components/runs/src/speed/fit.rs
+++ b/components/runs/src/speed/fit.rs
@@ -26,18 +26,26 @@
 /// start and the listing on an unloaded entry.
 const ASSUMED_FIXED_MS: f64 = 10.0;
 
-/// The weight of that assumption, in runs of 100 ms.
+/// The weight of that assumption, in runs of `ASSUMED_RUN_MS`.
 const ASSUMED_FIXED_RUNS: f64 = 4.0;
 
+/// The run time, in milliseconds, of the runs that the assumption counts as.
+const ASSUMED_RUN_MS: f64 = 100.0;
+
+/// Weight of a new fixed part in its moving average, so that it and the factors don't vary against
+/// each other. The first ones count in full.
+const FIXED_WEIGHT: f64 = 0.1;
+
 /// Upper limit of the fixed part, in milliseconds. A larger one is rather a wrong fit.
 const MAX_FIXED_MS: f64 = 200.0;
 
 /// Lower limit of the run time that weights are computed from, in milliseconds.
 const MIN_RUN_TIME_MS: f64 = 1.0;
 
-/// Limits of a factor.
+/// Lower limit of a factor. Fits and reports beyond the limits are wrong.
 pub(super) const MIN_FACTOR: f64 = 0.05;
-/// Upper one of the limits of a factor.
+
+/// Upper limit of a factor.
 pub(super) const MAX_FACTOR: f64 = 20.0;
 
 /// The fitted model of run times.
@@ -49,6 +57,8 @@
     unknown: Window,
     /// Whether there are runs since the last fit.
     is_outdated: bool,
+    /// Number of fits so far.
+    updates: u32,
 }
 
 /// The latest runs of one kind.
@@ -82,6 +92,7 @@
             kinds: BTreeMap::new(),
             unknown: Window::default(),
             is_outdated: false,
+            updates: 0,
         }
     }
 }
@@ -121,6 +132,11 @@
         self.kinds.iter()
     }
 
+    /// The runs of a kind, if there are any.
+    pub(super) fn kind(&self, kind: &Kind) -> Option<&Window> {
+        self.kinds.get(kind)
+    }
+
     /// The runs on executors of unknown kind.
     pub(super) fn unknown(&self) -> &Window {
         &self.unknown
@@ -128,31 +144,53 @@
 
     /// Fits the model to the latest runs, if there are new ones.
     pub(super) fn update(&mut self) {
-        if std::mem::take(&mut self.is_outdated) {
-            (0..PASSES).for_each(|_| self.improve());
+        if !std::mem::take(&mut self.is_outdated) {
+            return;
+        }
+        let before = self.fixed_ms;
+        for _ in 0..PASSES {
+            let sums = self.sums();
+            self.fixed_ms = fixed_part(&sums);
+            self.set_factors(&sums);
         }
+        self.updates = self.updates.saturating_add(1);
+        let step = FIXED_WEIGHT.max(1.0 / f64::from(self.updates));
+        self.fixed_ms = before + step * (self.fixed_ms - before);
+        let sums = self.sums();
+        self.set_factors(&sums);
     }
 
-    /// One pass of iteratively reweighted least squares on relative errors.
-    fn improve(&mut self) {
+    fn windows(&mut self) -> impl Iterator<Item = &mut Window> {
+        let windows = self.kinds.values_mut().chain([&mut self.unknown]);
+        windows.filter(|window| window.runs() > 0)
+    }
+
+    /// The weighted sums of each window with runs.
+    fn sums(&mut self) -> Vec<Sums> {
+        let fixed = self.fixed_ms;
+        self.windows().map(|window| window.sums(fixed)).collect()
+    }
+
+    /// Sets the factors that fit best with the fixed part.
+    fn set_factors(&mut self, sums: &[Sums]) {
         let fixed = self.fixed_ms;
-        let mut windows: Vec<_> =
-            self.kinds.values_mut().chain([&mut self.unknown]).filter(|w| w.runs() > 0).collect();
-        let sums: Vec<_> = windows.iter().map(|window| window.sums(fixed)).collect();
-        // Each factor is a linear function of the fixed part, which is solved for first.
-        let weight = ASSUMED_FIXED_RUNS / 100.0_f64.powi(2);
-        let of_fixed: f64 = sums.iter().map(|s| s.weight - s.estimate * s.slope(s.estimate)).sum();
-        let of_elapsed: f64 =
-            sums.iter().map(|s| s.elapsed - s.estimate * s.slope(s.product)).sum();
-        let fixed = (weight * ASSUMED_FIXED_MS + of_elapsed) / (weight + of_fixed);
-        self.fixed_ms = fixed.clamp(0.0, MAX_FIXED_MS);
-        for (window, sums) in windows.iter_mut().zip(&sums) {
-            let factor = sums.slope(sums.product - self.fixed_ms * sums.estimate);
+        for (window, sums) in self.windows().zip(sums) {
+            let factor = sums.slope(sums.product - fixed * sums.estimate);
             window.factor = factor.clamp(MIN_FACTOR, MAX_FACTOR);
         }
     }
 }
 
+/// The fixed part of iteratively reweighted least squares on relative errors. Each factor is a linear
+/// function of it, so that it is solved for first.
+fn fixed_part(sums: &[Sums]) -> f64 {
+    let weight = ASSUMED_FIXED_RUNS / ASSUMED_RUN_MS.powi(2);
+    let of_fixed: f64 = sums.iter().map(|s| s.weight - s.estimate * s.slope(s.estimate)).sum();
+    let of_elapsed: f64 = sums.iter().map(|s| s.elapsed - s.estimate * s.slope(s.product)).sum();
+    let fixed = (weight * ASSUMED_FIXED_MS + of_elapsed) / (weight + of_fixed);
+    fixed.clamp(0.0, MAX_FIXED_MS)
+}
+
 impl Window {
     /// Number of runs that the factor is fitted to.
     pub(super) fn runs(&self) -> u32 {
--- a/components/runs/src/speed/heard.rs
+++ b/components/runs/src/speed/heard.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Factor, Measure,
-    fit::{MAX_FACTOR, MAX_KINDS, MIN_FACTOR},
+    fit::{ENOUGH_RUNS, MAX_FACTOR, MAX_KINDS, MIN_FACTOR},
 };
 use crate::executor::Kind;
 use rustc_hash::FxHashMap;
@@ -20,7 +20,15 @@
 pub(super) struct Heard {
     rows: FxHashMap<Home, Vec<Measure>>,
     /// For each kind the weighted median of what the entries report.
-    merged: BTreeMap<Kind, f64>,
+    merged: BTreeMap<Kind, Merged>,
+}
+
+/// What the reports say of a kind.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Merged {
+    pub(super) factor: f64,
+    /// Number of runs that it rests on.
+    pub(super) runs: u32,
 }
 
 impl Heard {
@@ -39,7 +47,7 @@
     }
 
     /// The factor of a kind by the reports; `None` if there are none.
-    pub(super) fn factor(&self, kind: &Kind) -> Option<f64> {
+    pub(super) fn factor(&self, kind: &Kind) -> Option<Merged> {
         self.merged.get(kind).copied()
     }
 
@@ -66,7 +74,7 @@
 
 /// The weighted median of the factors of a kind. Rows without weight, which entries have from
 /// others, count only if there are no others.
-fn median(mut rows: Vec<&Measure>) -> f64 {
+fn median(mut rows: Vec<&Measure>) -> Merged {
     let is_measured = |row: &&Measure| row.weight > 0;
     if rows.iter().any(is_measured) {
         rows.retain(is_measured);
@@ -79,5 +87,8 @@
         below += weight(row);
         below * 2 >= total
     };
-    rows.iter().find(is_middle).map_or(Factor::ONE, |row| row.factor).ratio()
+    let factor = rows.iter().find(is_middle).map_or(Factor::ONE, |row| row.factor).ratio();
+    // Entries report nothing of a kind before there are enough runs.
+    let runs = rows.iter().map(|row| u32::from(row.weight)).max().unwrap_or_default();
+    Merged { factor, runs: runs.max(ENOUGH_RUNS) }
 }
--- a/components/runs/src/speed/mod.rs
+++ b/components/runs/src/speed/mod.rs
@@ -12,7 +12,7 @@
 use crate::{Executor, Options, action::Decision, executor::Kind};
 use derive_more::{Display, FromStr};
 use fit::{ENOUGH_RUNS, Fit, MAX_FACTOR, MAX_KINDS, MIN_FACTOR};
-use heard::{Heard, MAX_NAME, MAX_WEIGHT};
+use heard::{Heard, MAX_NAME, MAX_WEIGHT, Merged};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use single::Single;
@@ -29,10 +29,21 @@
 /// of a settled fit, so that reports and choices don't change with it.
 const PUBLISHED_STEP: f64 = 0.14;
 
+/// Growth of the number of measured runs from which a kind is published anew: others give the factor
+/// more weight then.
+const PUBLISHED_GROWTH: u16 = 4;
+
 /// Part of the ratio beyond 1 at which kinds begin to count as uneven, below which they no longer
 /// do.
 const STAYS_UNEVEN: f64 = 0.75;
 
+/// Number of standard errors by which the ratio of two kinds has to be beyond the limit before they
+/// count as uneven. Kinds that differ less must not count as uneven by chance.
+const CERTAINTY: f64 = 2.0;
+
+/// Runs that are worth one independent run: tasks of a job have the same error of their estimate.
+const RUNS_PER_JOB: f64 = 3.0;
+
 /// Divisor of the moving average of the spread: the inverse of the weight of one run.
 const SPREAD_WEIGHT: f32 = 256.0;
 
@@ -115,6 +126,7 @@
     spread: f32,
     /// The factors in use, by kind. They stay until they differ clearly from the fitted ones.
     published: BTreeMap<Kind, Published>,
+    /// Whether the kinds differ clearly by the latest fit.
     is_uneven: bool,
     /// Counts the changes of what this entry has measured itself.
     revision: u64,
@@ -130,6 +142,37 @@
     weight: u16,
 }
 
+/// What is known of a kind at present.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    factor: f64,
+    /// Number of runs that it rests on, here or elsewhere.
+    runs: u32,
+    /// Whether they were measured here.
+    is_measured: bool,
+}
+
+impl Estimate {
+    fn published(self) -> Published {
+        let weight = if self.is_measured { self.runs.min(u32::from(MAX_WEIGHT)) as u16 } else { 0 };
+        Published { factor: Factor::from_ratio(self.factor), weight }
+    }
+}
+
+impl Published {
+    fn merged(self) -> Merged {
+        Merged { factor: self.factor.ratio(), runs: ENOUGH_RUNS }
+    }
+
+    /// Whether the difference to a new estimate matters here or to others.
+    fn is_replaced_by(self, new: Self) -> bool {
+        let octaves = (new.factor.ratio() / self.factor.ratio()).log2();
+        let begins_to_be_measured = self.weight == 0 && new.weight > 0;
+        let has_grown = new.weight >= self.weight.saturating_mul(PUBLISHED_GROWTH);
+        octaves.abs() >= PUBLISHED_STEP || begins_to_be_measured || self.weight > 0 && has_grown
+    }
+}
+
 impl Speeds {
     /// Knows no speed yet.
     pub fn new(options: &Options) -> Self {
@@ -171,13 +214,14 @@
         if !single.is_of(executor) {
             *single = Single::new(executor);
         }
-        single.observe(now, octaves);
+        single.observe(now, octaves, self.spread);
         let spread = octaves.abs().min(MAX_SPREAD) * DEVIATION_RATIO;
         self.spread += (spread - self.spread) / SPREAD_WEIGHT;
     }
 
-    /// Fits the model to the latest runs and publishes factors that have changed. Returns a line for
-    /// the decision log for each of them.
+    /// Fits the model to the latest runs and publishes factors that have changed. Returns lines for
+    /// the decision log: one for each of them, or for all kinds if the kinds begin or cease to count
+    /// as uneven.
     pub fn refresh(&mut self, now: Time) -> Vec<Decision> {
         if !self.is_enabled || now.since(self.fitted) < FIT_INTERVAL {
             return Vec::new();
@@ -185,75 +229,78 @@
         self.fitted = now;
         self.fit.update();
         self.singles.retain(|_, single| !single.is_outdated(now));
-        let changed = self.publish();
-        if changed.is_empty() {
-            return Vec::new();
+        let estimates = self.estimates();
+        let mut changed = self.publish(&estimates);
+        let is_uneven = self.are_uneven(&estimates);
+        if std::mem::replace(&mut self.is_uneven, is_uneven) != is_uneven {
+            changed = self.published.keys().cloned().collect();
         }
-        self.is_uneven = self.ratio() >= self.limit();
-        let line = |(kind, published): (Kind, Published)| Decision::Speed {
+        changed.into_iter().filter_map(|kind| self.line(kind)).collect()
+    }
+
+    fn line(&self, kind: Kind) -> Option<Decision> {
+        let published = self.published.get(&kind)?;
+        Some(Decision::Speed {
             kind,
             factor: published.factor,
             runs: published.weight,
             fixed: self.fit.fixed(),
             uneven: self.is_uneven,
-        };
-        changed.into_iter().map(line).collect()
+        })
     }
 
-    /// Publishes the factors that have changed, and returns them.
-    fn publish(&mut self) -> Vec<(Kind, Published)> {
+    /// What is known of each kind.
+    fn estimates(&self) -> BTreeMap<Kind, Estimate> {
         let measured = self.fit.kinds().map(|(kind, _)| kind);
-        let mut kinds: Vec<_> = measured.chain(self.heard.kinds()).cloned().collect();
-        kinds.sort_unstable();
-        kinds.dedup();
-        let mut changed = Vec::new();
-        for kind in kinds {
-            let Some(new) = self.estimate(&kind) else { continue };
-            let old = self.published.get(&kind).copied();
-            if old.is_none() && self.published.len() >= MAX_KINDS {
-                continue;
-            }
-            let has_changed = old.is_none_or(|old| differs(old.factor, new.factor));
-            let is_measured = |published: Published| published.weight > 0;
-            let was_measured = old.is_some_and(is_measured);
-            if has_changed || is_measured(new) != was_measured {
-                self.revision += u64::from(is_measured(new) || was_measured);
-                self.published.insert(kind.clone(), new);
-                changed.push((kind, new));
-            }
-        }
-        changed
+        let kinds = measured.chain(self.heard.kinds()).chain(self.published.keys());
+        kinds.filter_map(|kind| Some((kind.clone(), self.estimate(kind)?))).collect()
     }
 
     /// The factor of a kind by the runs measured here. Reports of others stand in for the runs that
-    /// are missing to enough of them.
-    fn estimate(&self, kind: &Kind) -> Option<Published> {
-        let window = self.fit.kinds().find(|(other, _)| *other == kind).map(|(_, window)| window);
-        let (runs, own) = window.map_or((0, 1.0), |window| (window.runs(), window.factor()));
+    /// are missing to enough of them, and without any the factor that was published.
+    fn estimate(&self, kind: &Kind) -> Option<Estimate> {
+        let (runs, own) = self.fit.kind(kind).map_or((0, 1.0), |own| (own.runs(), own.factor()));
         if runs >= ENOUGH_RUNS {
-            let weight = runs.min(u32::from(MAX_WEIGHT)) as u16;
-            return Some(Published { factor: Factor::from_ratio(own), weight });
+            return Some(Estimate { factor: own, runs, is_measured: true });
         }
-        let heard = self.heard.factor(kind)?;
+        let published = || self.published.get(kind).copied().map(Published::merged);
+        let heard = self.heard.factor(kind).or_else(published)?;
         let part = f64::from(runs) / f64::from(ENOUGH_RUNS);
-        let octaves = part * own.log2() + (1.0 - part) * heard.log2();
-        Some(Published { factor: Factor::from_ratio(octaves.exp2()), weight: 0 })
+        let octaves = part * own.log2() + (1.0 - part) * heard.factor.log2();
+        Some(Estimate { factor: octaves.exp2(), runs: heard.runs, is_measured: false })
     }
 
-    /// The ratio of the factors of the slowest and the fastest kind.
-    fn ratio(&self) -> f64 {
-        let factors = || self.published.values().map(|published| published.factor.ratio());
-        let (slowest, fastest) =
-            (factors().fold(0.0, f64::max), factors().fold(MAX_FACTOR, f64::min));
-        if self.published.is_empty() { 1.0 } else { slowest / fastest }
+    /// Publishes the factors that have changed, and returns their kinds.
+    fn publish(&mut self, estimates: &BTreeMap<Kind, Estimate>) -> Vec<Kind> {
+        let mut changed = Vec::new();
+        for (kind, estimate) in estimates {
+            let old = self.published.get(kind).copied();
+            let new = estimate.published();
+            let is_known = old.is_some() || self.published.len() < MAX_KINDS;
+            if is_known && old.is_none_or(|old| old.is_replaced_by(new)) {
+                let measured = new.weight > 0 || old.is_some_and(|old| old.weight > 0);
+                self.revision += u64::from(measured);
+                self.published.insert(kind.clone(), new);
+                changed.push(kind.clone());
+            }
+        }
+        changed
     }
 
-    /// The ratio from which kinds count as uneven now.
-    fn limit(&self) -> f64 {
-        match self.is_uneven {
-            true => 1.0 + (self.uneven_ratio - 1.0) * STAYS_UNEVEN,
-            false => self.uneven_ratio,
+    /// Whether the slowest and the fastest kind differ by the limit: certainly if they did not so
+    /// far, and by most of it if they did.
+    fn are_uneven(&self, estimates: &BTreeMap<Kind, Estimate>) -> bool {
+        let by_factor = |a: &&Estimate, b: &&Estimate| a.factor.total_cmp(&b.factor);
+        let slowest = estimates.values().max_by(by_factor);
+        let fastest = estimates.values().min_by(by_factor);
+        let (Some(slowest), Some(fastest)) = (slowest, fastest) else { return self.is_uneven };
+        let octaves = (slowest.factor / fastest.factor).log2();
+        if self.is_uneven {
+            return octaves >= (1.0 + (self.uneven_ratio - 1.0) * STAYS_UNEVEN).log2();
         }
+        let variance = RUNS_PER_JOB * f64::from(self.spread).powi(2);
+        let per_run = 1.0 / f64::from(slowest.runs) + 1.0 / f64::from(fastest.runs);
+        octaves - CERTAINTY * (variance * per_run).sqrt() >= self.uneven_ratio.log2()
     }
 
     /// The published factor of an executor's kind; for an unknown one that of the measured executors
@@ -281,8 +328,7 @@
         }
         let Some(kind) = self.kind_factor(executor) else { return Factor::ONE };
         let single = self.singles.get(&executor.id).filter(|single| single.is_of(executor));
-        let octaves = single.map_or(0.0, |single| single.deviation(self.spread));
-        Factor::from_ratio(kind * f64::from(octaves).exp2())
+        Factor::from_ratio(kind * single.map_or(1.0, Single::ratio))
     }
 
     /// The part of a run time that does not depend on the estimate, as measured at this entry. Zero
@@ -324,8 +370,13 @@
     /// Records what another entry reports, which replaces its earlier rows. Without rows nothing has
     /// changed there.
     pub fn hear(&mut self, peer: Home, rows: Vec<Measure>) {
-        if self.is_enabled && !rows.is_empty() {
-            self.heard.set(peer, rows);
+        if !self.is_enabled || rows.is_empty() {
+            return;
+        }
+        self.heard.set(peer, rows);
+        if self.published.is_empty() {
+            // Tasks may start before the next fit is due.
+            self.fitted = Time(0);
         }
     }
 
@@ -340,8 +391,3 @@
 fn known_kind(executor: &Executor) -> Option<&Kind> {
     executor.kind.as_ref().filter(|kind| kind.0.len() <= MAX_NAME)
 }
-
-/// Whether a factor has to be published in place of another.
-fn differs(old: Factor, new: Factor) -> bool {
-    (new.ratio() / old.ratio()).log2().abs() >= PUBLISHED_STEP
-}
--- a/components/runs/src/speed/single.rs
+++ b/components/runs/src/speed/single.rs
@@ -33,6 +33,8 @@
     octaves: [f32; RUNS],
     len: usize,
     next: usize,
+    /// The ratio that the latest runs give. Kept, since it is read for each executor at each start.
+    ratio: f64,
 }
 
 impl Single {
@@ -44,6 +46,7 @@
             octaves: [0.0; RUNS],
             len: 0,
             next: 0,
+            ratio: 1.0,
         }
     }
 
@@ -56,16 +59,23 @@
         now.since(self.latest) > MAX_AGE
     }
 
-    pub(super) fn observe(&mut self, now: Time, octaves: f32) {
+    /// Records a run. `spread` is the usual deviation of one run, in octaves.
+    pub(super) fn observe(&mut self, now: Time, octaves: f32, spread: f32) {
         self.latest = now;
         self.octaves[self.next] = octaves;
         self.next = (self.next + 1) % RUNS;
         self.len = (self.len + 1).min(RUNS);
+        self.ratio = f64::from(self.deviation(spread)).exp2();
     }
 
-    /// The deviation from the kind in octaves, shrunk towards zero: not at all if it is far beyond
-    /// chance, to zero if it may be chance. `spread` is the usual deviation of one run.
-    pub(super) fn deviation(&self, spread: f32) -> f32 {
+    /// The run time on this executor relative to others of its kind.
+    pub(super) fn ratio(&self) -> f64 {
+        self.ratio
+    }
+
+    /// The deviation from the kind in octaves, shrunk towards zero: hardly if it is far beyond
+    /// chance, to zero if it may be chance.
+    fn deviation(&self, spread: f32) -> f32 {
         if self.len < MIN_RUNS {
             return 0.0;
         }
--- a/components/runs/tests/common/executors.rs
+++ b/components/runs/tests/common/executors.rs
@@ -2,7 +2,7 @@
 
 use super::fixture::{executor, home, job};
 use runs::{
-    Action, Entry, Event, Executor, Job, Options,
+    Action, Decision, Entry, Event, Executor, Job, Options,
     action::Poll,
     executor::{Ended, Incarnation, Listing, Refusal, Response, RunResult, Service, StartResponse},
     job::{Answer, Run},
@@ -50,6 +50,7 @@
     /// Results of starts that were not sent or were refused, which arrive with the next tick.
     not_started: Vec<Event>,
     pub(crate) answers: Vec<Answer>,
+    pub(crate) decisions: Vec<Decision>,
     /// Number of stops that were carried out.
     stops: usize,
     jobs: u64,
@@ -70,6 +71,7 @@
             polls: Vec::new(),
             not_started: Vec::new(),
             answers: Vec::new(),
+            decisions: Vec::new(),
             stops: 0,
             jobs: 0,
         };
@@ -121,6 +123,10 @@
                 self.answers.push(answer);
                 None
             }
+            Action::Log(decision) => {
+                self.decisions.push(decision);
+                None
+            }
             Action::Stop { executor, run, .. } => {
                 let reply = match self.executors[&executor].process {
                     Process::Up | Process::Refusing(_) => {
