Laboratory: entries that are lost for longer, single links that are cut

A killed entry came back after 500 ms, before its peers had lost it, so that no run showed its executors without a keeper. `lose` kills an entry for a given time and `cut-link` cuts the link of two entries. `run` prints for how long executors of killed or frozen entries were not in use, and how often entries were fenced.

--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -44,6 +44,9 @@
     figure("cores used", |tally| tally.used);
     figure("refused p50 ms", |tally| tally.refusal_ms.0);
     figure("refused p95 ms", |tally| tally.refusal_ms.1);
+    figure("unkept p50 ms", |tally| tally.unkept_ms.0);
+    figure("unkept max ms", |tally| tally.unkept_ms.1);
+    figure("fences", |tally| tally.fences as f64);
     println!("{:24} jobs in-time late refused had-room given-up failed  share", "");
     let name = |kind: &usize| pattern.kinds[*kind].name.clone();
     print_groups(&tallies, |tally| &tally.kinds, name);
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -205,10 +205,12 @@
         }
         let exists = |fault: &Fault| match fault {
             Fault::Kill { entry }
+            | Fault::Lose { entry, .. }
             | Fault::Freeze { entry, .. }
             | Fault::Cut { entry, .. }
             | Fault::Blind { entry, .. }
             | Fault::Drain { entry } => *entry < entries,
+            Fault::CutLink { entry, peer, .. } => (*entry).max(*peer) < entries,
             Fault::Dark { executor, .. }
             | Fault::Crash { executor }
             | Fault::Fails { executor, .. }
--- a/lab/src/simulation/faults.rs
+++ b/lab/src/simulation/faults.rs
@@ -4,25 +4,18 @@
 use runs::Event;
 use site::{id::WaiterId, unit::Time};
 
+/// Time from the kill of an entry until it is started again.
+const RESTART_US: u64 = 500_000;
+
 impl Simulation {
     pub(super) fn begin_fault(&mut self, fault: Fault) {
         match fault {
-            Fault::Kill { entry } => {
-                if self.nodes[entry].entry.take().is_none() {
-                    return;
-                }
-                let home = self.nodes[entry].home;
-                self.disconnect_callers(entry);
-                for node in (0..self.nodes.len()).filter(|node| *node != entry) {
-                    self.after(PEER_TIMEOUT_US, Step::LinkDown(node, home));
-                }
-                self.links.retain(|(_, to)| *to != home);
-                self.after(REGISTRATION_TTL_US, Step::ExpireRegistration(entry, home.incarnation));
-                self.after(500_000, Step::Restart(entry));
-            }
+            Fault::Kill { entry } => self.kill(entry, RESTART_US),
+            Fault::Lose { entry, ms } => self.kill(entry, ms * 1_000),
             Fault::Freeze { entry, ms } => {
                 let until = Time(self.now.0 + ms * 1_000);
                 self.nodes[entry].frozen_until = until;
+                self.executors_lose_keeper(entry);
                 if ms * 1_000 > PEER_TIMEOUT_US {
                     let home = self.nodes[entry].home;
                     for node in (0..self.nodes.len()).filter(|node| *node != entry) {
@@ -45,6 +38,17 @@
                     }
                 }
             }
+            Fault::CutLink { entry, peer, ms } => {
+                let until = Time(self.now.0 + ms * 1_000);
+                self.cut_links.insert((entry.min(peer), entry.max(peer)), until);
+                if ms * 1_000 > PEER_TIMEOUT_US {
+                    for (node, other) in [(entry, peer), (peer, entry)] {
+                        let home = self.nodes[other].home;
+                        self.after(PEER_TIMEOUT_US, Step::LinkDown(node, home));
+                    }
+                    self.after(ms * 1_000 + 50_000, Step::LinkUp(entry, peer));
+                }
+            }
             Fault::Dark { executor, ms } => {
                 self.slots[executor].fake.unresponsive_until = Time(self.now.0 + ms * 1_000);
             }
@@ -79,6 +83,30 @@
         }
     }
 
+    fn kill(&mut self, entry: usize, restart_us: u64) {
+        if self.nodes[entry].entry.take().is_none() {
+            return;
+        }
+        self.executors_lose_keeper(entry);
+        let home = self.nodes[entry].home;
+        self.disconnect_callers(entry);
+        for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+            self.after(PEER_TIMEOUT_US, Step::LinkDown(node, home));
+        }
+        self.links.retain(|(_, to)| *to != home);
+        self.after(REGISTRATION_TTL_US, Step::ExpireRegistration(entry, home.incarnation));
+        self.after(restart_us, Step::Restart(entry));
+    }
+
+    /// Begins to measure how long the executors of an entry are without a keeper.
+    fn executors_lose_keeper(&mut self, entry: usize) {
+        for (executor, keeper) in &self.keepers {
+            if *keeper == entry {
+                self.unkept_since.insert(executor.clone(), self.now);
+            }
+        }
+    }
+
     pub(super) fn give_up(&mut self) {
         let open: Vec<_> = self
             .callers
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -133,6 +133,12 @@
     nodes: Vec<Node>,
     slots: Vec<Slot>,
     links: BTreeSet<(Home, Home)>,
+    /// Pairs of entries that can't reach each other, the lower index first, and until when.
+    cut_links: BTreeMap<(usize, usize), Time>,
+    /// The entry that last reported each executor as ready, by the executor's name.
+    keepers: FxHashMap<CompactString, usize>,
+    /// Executors whose keeper was killed or frozen, and when.
+    unkept_since: FxHashMap<CompactString, Time>,
     callers: BTreeMap<u64, Caller>,
     revision: u64,
     /// Data centres under cordon, each with the time since when.
@@ -155,6 +161,10 @@
     pub begun_work: u64,
     /// Number of capacity reports that entries sent to each other while jobs arrived.
     pub reports: u64,
+    /// For each executor whose keeper was killed or frozen, the time until it was in use again.
+    pub unkept: Vec<Span>,
+    /// How often an entry found that another one holds an executor with a higher token.
+    pub fences: usize,
 }
 
 impl Simulation {
@@ -192,6 +202,9 @@
             nodes,
             slots,
             links: BTreeSet::new(),
+            cut_links: BTreeMap::new(),
+            keepers: FxHashMap::default(),
+            unkept_since: FxHashMap::default(),
             callers: BTreeMap::new(),
             revision: 1,
             cordons: BTreeMap::new(),
@@ -206,6 +219,8 @@
             starts: 0,
             begun_work: 0,
             reports: 0,
+            unkept: Vec::new(),
+            fences: 0,
         };
         for node in 0..simulation.nodes.len() {
             simulation.start_entry(node);
--- a/lab/src/simulation/nodes.rs
+++ b/lab/src/simulation/nodes.rs
@@ -2,7 +2,7 @@
 
 use super::{NETWORK_DELAY_US, Order, Progress, Simulation, Step};
 use rand::Rng;
-use runs::{Action, Entry, Event, Executor, Message, entry::TICK};
+use runs::{Action, Decision, Entry, Event, Executor, Message, action::KeepChange, entry::TICK};
 use site::{
     id::Incarnation,
     unit::{Revision, Time},
@@ -62,7 +62,10 @@
     }
 
     pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
-        self.nodes[a].cut_until > self.now || self.nodes[b].cut_until > self.now
+        let is_cut = |until: &Time| *until > self.now;
+        self.nodes[a].cut_until > self.now
+            || self.nodes[b].cut_until > self.now
+            || self.cut_links.get(&(a.min(b), a.max(b))).is_some_and(is_cut)
     }
 
     pub(super) fn link(&mut self, a: usize, b: usize) {
@@ -105,6 +108,19 @@
         }
     }
 
+    fn record_keeper(&mut self, node: usize, decision: &Decision) {
+        let Decision::Keep { executor, change, .. } = decision else { return };
+        match change {
+            KeepChange::Ready => {
+                self.keepers.insert(executor.clone(), node);
+                let since = self.unkept_since.remove(executor);
+                self.unkept.extend(since.map(|since| self.now.since(since)));
+            }
+            KeepChange::Fenced => self.fences += 1,
+            _ => {}
+        }
+    }
+
     pub(super) fn carry_out(&mut self, node: usize, action: Action) {
         let home = self.nodes[node].home;
         let incarnation = home.incarnation;
@@ -130,11 +146,14 @@
                     self.after(NETWORK_DELAY_US, Step::Deliver { from: home, to: peer, message });
                 }
             }
-            Action::Log(decision) if self.plan.trace => {
-                println!("{} {node} {decision:?}", self.now);
+            Action::Log(decision) => {
+                if self.plan.trace {
+                    println!("{} {node} {decision:?}", self.now);
+                }
+                self.record_keeper(node, &decision);
             }
             // All entries are notified of all executors here; following them has no cost.
-            Action::Log(_) | Action::WatchExecutors(_) => {}
+            Action::WatchExecutors(_) => {}
             Action::Exit => self.nodes[node].exited = true,
         }
     }
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -79,6 +79,13 @@
         /// Index of the entry.
         entry: usize,
     },
+    /// An entry's process is killed and started again later than after a [`Fault::Kill`].
+    Lose {
+        /// Index of the entry.
+        entry: usize,
+        /// Time until it is started again, in milliseconds.
+        ms: u64,
+    },
     /// An entry's process is suspended.
     Freeze {
         /// Index of the entry.
@@ -93,6 +100,15 @@
         /// Duration in milliseconds.
         ms: u64,
     },
+    /// Two entries can't reach each other.
+    CutLink {
+        /// Index of one entry.
+        entry: usize,
+        /// Index of the other one.
+        peer: usize,
+        /// Duration in milliseconds.
+        ms: u64,
+    },
     /// An executor neither carries out orders nor responds. Its tasks run on while its lease lasts.
     Dark {
         /// Index of the executor.
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -64,6 +64,11 @@
     pub used: f64,
     /// Median and 95th percentile of the time until a refusal, in milliseconds.
     pub refusal_ms: (f64, f64),
+    /// Median and maximum of the time for which an executor was without a keeper, in milliseconds,
+    /// after its keeper was killed or frozen; 0 if none was.
+    pub unkept_ms: (f64, f64),
+    /// How often an entry was fenced.
+    pub fences: usize,
 }
 
 impl Group {
--- a/lab/src/trial.rs
+++ b/lab/src/trial.rs
@@ -14,7 +14,12 @@
     let mut simulation = Simulation::new(plan, seed);
     simulation.play();
     let used = simulation.begun_work as f64 / available.max(1) as f64;
-    Tally { used, ..Tally::new(&arrivals, &simulation.records) }
+    let mut unkept: Vec<_> = simulation.unkept.iter().map(|span| span.0 as f64 / 1e3).collect();
+    unkept.sort_by(f64::total_cmp);
+    let at = |index: usize| unkept.get(index).copied().unwrap_or_default();
+    let unkept_ms = (at(unkept.len() / 2), at(unkept.len().saturating_sub(1)));
+    let fences = simulation.fences;
+    Tally { used, unkept_ms, fences, ..Tally::new(&arrivals, &simulation.records) }
 }
 
 /// Simulates each pattern with each seed in parallel, with a progress bar; returns one row per
