Executors of a lost entry are taken over before its registration lapses

The connections of a dead entry are lost after 0.8 s, but its executors were idle until its registration lapsed, 2 s after its last renewal.

Entries now report which entries of their data centre they have lost. Once most of those that are still heard from have lost an entry, it no longer counts as a keeper, and the next ones in order take its executors over. An entry that hears from half of its data centre or less takes nothing over. Reports also carry the highest fencing token in use, since the store's revision may be the one that the lost keeper's tokens rest on.

Switch: `limits.standby`. `keep` lines and the metric `executor_unkept_seconds` tell how long executors were without a keeper.

--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -16,6 +16,10 @@
 /// Bucket bounds of the response time histogram, in seconds.
 const RESPONSE_BOUNDS: [f64; 11] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 1.6, 3.0];
 
+/// Bucket bounds of the histogram of the time without a keeper, in seconds: around 1.2 s, in which
+/// executors of a lost entry are to be used again, and 2 s, when its registration lapses.
+const UNKEPT_BOUNDS: [f64; 7] = [0.9, 1.0, 1.2, 1.6, 2.0, 2.5, 4.0];
+
 /// The metrics of one entry.
 #[derive(Debug)]
 pub struct Metrics {
@@ -27,6 +31,7 @@
     failures: Counter<u64>,
     store: Counter<u64>,
     response: Histogram<f64>,
+    unkept: Histogram<f64>,
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
 }
@@ -53,6 +58,13 @@
                 .with_description("Time from a job's arrival to its answer")
                 .with_boundaries(RESPONSE_BOUNDS.to_vec())
                 .build(),
+            unkept: meter
+                .f64_histogram("executor_unkept_seconds")
+                .with_description(
+                    "Time from the last sign of life of a lost keeper until its executor is in use",
+                )
+                .with_boundaries(UNKEPT_BOUNDS.to_vec())
+                .build(),
             cordons: meter
                 .u64_gauge("cordoned_data_centres")
                 .with_description("Data centres under cordon, as known to this process")
@@ -82,6 +94,9 @@
     pub(crate) fn decided(&self, decision: &Decision) {
         match decision {
             Decision::RunEnded { .. } => self.failures.add(1, &[]),
+            Decision::Keep { unkept: Some(unkept), .. } => {
+                self.unkept.record(unkept.0 as f64 / 1e6, &[]);
+            }
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
                 self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -229,6 +229,10 @@
         token: u64,
         /// Runs that are on the executor, or may be.
         runs: usize,
+        /// If it was taken over from a lost entry and is in use now: time since that entry was last
+        /// heard from.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        unkept: Option<Span>,
     },
     /// The health state of an executor changed.
     Health {
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -30,6 +30,21 @@
 /// a site and their restarts in a normal day.
 const MAX_CLOCKS: usize = 1_000;
 
+/// The latest sign of life of a peer.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    /// When its connection came up or its latest message arrived.
+    at: Time,
+    /// Whether its runs were stopped since then, since it was silent for too long.
+    is_silent: bool,
+}
+
+impl Contact {
+    fn new(at: Time) -> Self {
+        Self { at, is_silent: false }
+    }
+}
+
 /// The state machine of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -39,8 +54,8 @@
     keeper: Keeper,
     view: View,
     configuration: u64,
-    /// Time of the latest message of each connected peer. A peer that is considered lost has none.
-    last_contact: FxHashMap<Home, Time>,
+    /// The latest message of each connected peer.
+    last_contact: FxHashMap<Home, Contact>,
     /// Clock offsets of peers, kept beyond their connections.
     clocks: FxHashMap<Home, Offset>,
     /// Time of the latest event.
@@ -162,18 +177,20 @@
     /// for them.
     fn stop_runs_of_unresponsive_homes(&mut self, now: Time, out: &mut Vec<Action>) {
         let limit = self.options.peer_silence;
-        let unresponsive: Vec<_> = self
-            .last_contact
-            .extract_if(|_, at| now.since(*at) > limit)
-            .map(|(peer, _)| peer)
-            .collect();
+        let mut unresponsive = Vec::new();
+        for (peer, contact) in &mut self.last_contact {
+            if !contact.is_silent && now.since(contact.at) > limit {
+                contact.is_silent = true;
+                unresponsive.push(*peer);
+            }
+        }
         for peer in unresponsive {
             self.keeper.home_lost(now, peer, out);
         }
     }
 
     fn handle_message(&mut self, now: Time, from: Home, message: Message, out: &mut Vec<Action>) {
-        self.last_contact.insert(from, now);
+        self.last_contact.insert(from, Contact::new(now));
         match message {
             Message::Place(placement) => {
                 let offset = self.clocks.entry(from).or_default();
@@ -241,7 +258,7 @@
 
     fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.connect(peer);
-        self.last_contact.insert(peer, now);
+        self.last_contact.insert(peer, Contact::new(now));
         let report = self.report(now);
         out.push(Action::Send { to: peer, message: Message::Report(report) });
         let changed = self.view.connect(peer);
@@ -250,7 +267,7 @@
 
     fn peer_down(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.disconnect(peer);
-        self.last_contact.remove(&peer);
+        let heard = self.last_contact.remove(&peer).map_or(now, |contact| contact.at);
         // A restored connection to the same process can use the offset again.
         if self.clocks.len() > MAX_CLOCKS {
             self.clocks.retain(|home, _| self.last_contact.contains_key(home));
@@ -258,7 +275,7 @@
         self.jobs.keeper_lost(now, peer);
         self.keeper.home_lost(now, peer, out);
         self.keeper.peer_lost(now, peer, out);
-        let changed = self.view.disconnect(peer);
+        let changed = self.view.disconnect(peer, heard);
         self.view_changed(now, changed, out);
     }
 
@@ -279,6 +296,21 @@
         }
     }
 
+    /// Updates which entries of this data centre are lost, and tells its keepers of new losses:
+    /// they take the executors over.
+    fn update_losses(&mut self, now: Time, out: &mut Vec<Action>) {
+        let has_new = self.view.update_losses(now, self.options.standby_silence);
+        if !self.options.standby {
+            return;
+        }
+        if has_new {
+            let report = self.report(now);
+            out.extend(self.view.near_keepers().map(|to| report_to(to, &report)));
+        }
+        let changed = self.view.confirm_losses();
+        self.view_changed(now, changed, out);
+    }
+
     fn reconcile(&mut self, now: Time, out: &mut Vec<Action>) {
         self.reconciled = now;
         self.unreconciled = false;
@@ -286,6 +318,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.update_losses(now, out);
         self.unreconciled |= self.view.give_up_absent(now, self.options.absence_patience);
         if self.unreconciled || now.since(self.reconciled) >= RECONCILE_INTERVAL {
             self.reconcile(now, out);
@@ -306,6 +339,7 @@
         let own = self.jobs.pause(now, out);
         self.keeper.cancel(now, &own, out);
         self.keeper.pause();
+        self.view.resume(now);
     }
 
     /// Places and starts tasks until nothing changes any more, then sends reports.
@@ -366,6 +400,15 @@
             configuration: self.configuration,
             cordon: self.keeper.cordon().clone(),
             revision: self.view.revision(),
+            lost: self.reported_losses(),
+            highest_token: self.keeper.highest_token(),
+        }
+    }
+
+    fn reported_losses(&self) -> Vec<Home> {
+        match self.options.standby {
+            true => self.view.losses().to_vec(),
+            false => Vec::new(),
         }
     }
 
@@ -399,7 +442,11 @@
     fn handle_report(&mut self, now: Time, from: Home, report: Report, out: &mut Vec<Action>) {
         self.clocks.entry(from).or_default().age(now, report.sent);
         self.view.observe_revision(report.revision);
-        let changed = self.view.set_leaving(from, report.leaving);
+        let mut changed = self.view.set_leaving(from, report.leaving);
+        self.view.record_losses(from, report.lost.clone(), report.highest_token);
+        if self.options.standby {
+            changed |= self.view.confirm_losses();
+        }
         self.view.set_idle(from, report.idle);
         self.set_cordon(now, report.cordon.clone(), Source::Peer, out);
         let is_cordoned = report.cordoned;
--- a/components/runs/src/keeper/incarnation.rs
+++ b/components/runs/src/keeper/incarnation.rs
@@ -102,7 +102,7 @@
         self.confirmed = 0;
         self.missed_polls = 0;
         self.no_start_before = Time(0);
-        log_keep(self, KeepChange::Reborn, out);
+        log_keep(self, KeepChange::Reborn, None, out);
     }
 }
 
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -6,6 +6,7 @@
     clock::{self, Clock, RemoteTime},
     job::{Run, Task},
     message::End,
+    view::Former,
 };
 use rustc_hash::FxHashMap;
 use site::{
@@ -26,6 +27,8 @@
     pub(crate) token: u64,
     /// Times that this entry was fenced since the executor was last in use.
     pub(crate) tries: u8,
+    /// The lost keeper that it is taken over from; `None` once it is in use.
+    pub(crate) former: Option<Former>,
     /// When this entry learnt of the executor's current incarnation.
     pub(crate) incarnation_since: Time,
     /// Whether the executor's incarnation has ended. The store may list it until its registration
@@ -160,6 +163,7 @@
             phase,
             token: 0,
             tries: 0,
+            former: None,
             incarnation_since: Time(0),
             gone: false,
             clock: None,
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -5,6 +5,7 @@
 mod poll;
 mod queue;
 mod room;
+mod standby;
 mod start;
 mod stop;
 mod transfer;
@@ -213,10 +214,12 @@
             !self.leases.contains_key(&executor.id) && self.is_wanted(view, executor)
         };
         let new: Vec<_> = self.known.values().filter(is_new).cloned().collect();
+        let former = (!new.is_empty()).then(|| view.former_keepers());
         for executor in new {
             let phase = Phase::Settling { since: now };
             self.health.insert(executor.id);
             let mut lease = Lease::new(executor, phase);
+            lease.former = former.as_ref().and_then(|former| former.of(&lease.executor));
             if let Some(services) = &self.services {
                 lease.overcommits = overcommits(services, lease.executor.service);
             }
@@ -238,7 +241,7 @@
     fn forget(&mut self, id: EndpointId, change: KeepChange, out: &mut Vec<Action>) {
         if let Some(lease) = self.leases.remove(&id) {
             if !matches!(lease.phase, Phase::Settling { .. }) {
-                log_keep(&lease, change, out);
+                log_keep(&lease, change, None, out);
             }
             self.health.remove(id);
         }
@@ -287,11 +290,13 @@
     ) {
         let Some(lease) = self.leases.get_mut(&id) else { return };
         match lease.phase {
-            Phase::Settling { since } if self.options.is_settled(now, since, view) => {
-                lease.token = view.token(lease.tries);
+            Phase::Settling { since }
+                if self.options.is_settled(now, since, lease.former, view) =>
+            {
+                lease.token = lease.next_token(view);
                 lease.phase = Phase::Claiming { until: now + self.options.claim_timeout };
                 lease.claim_recipients = self.options.claim_recipients(view);
-                log_keep(lease, KeepChange::Claim, out);
+                log_keep(lease, KeepChange::Claim, None, out);
                 claims.push(id);
                 self.record_claim_answer(now, id, None, out);
             }
@@ -342,11 +347,12 @@
     services.get(&service).is_some_and(|service| !service.guards_capacity)
 }
 
-fn log_keep(lease: &Lease, change: KeepChange, out: &mut Vec<Action>) {
+fn log_keep(lease: &Lease, change: KeepChange, unkept: Option<Span>, out: &mut Vec<Action>) {
     out.push(Action::Log(Decision::Keep {
         executor: lease.executor.name.clone(),
         change,
         token: lease.token,
         runs: lease.runs.len(),
+        unkept,
     }));
 }
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -33,7 +33,7 @@
         let Some(lease) = self.leases.get_mut(&id) else { return };
         lease.phase = Phase::Polling;
         lease.poll_at = Some(now);
-        log_keep(lease, KeepChange::Look, out);
+        log_keep(lease, KeepChange::Look, None, out);
         self.poll(now, id, out);
     }
 
@@ -117,7 +117,7 @@
                 lease.confirmed = lease.confirmed.max(acknowledged);
                 if lease.missed_polls > 0 {
                     lease.missed_polls = 0;
-                    log_keep(lease, KeepChange::Answers, out);
+                    log_keep(lease, KeepChange::Answers, None, out);
                 }
                 self.confirm_incarnation(now, id, listing.incarnation, out);
                 self.apply_listing(now, id, sent, listing, out);
@@ -157,7 +157,8 @@
         if lease.phase == Phase::Polling {
             lease.phase = Phase::Ready;
             lease.tries = 0;
-            log_keep(lease, KeepChange::Ready, out);
+            let unkept = lease.former.take().map(|former| now.since(former.heard));
+            log_keep(lease, KeepChange::Ready, unkept, out);
         }
         let listed = |run: &Run| listing.running.contains(run);
         let missing: Vec<_> = lease.runs.keys().filter(|run| !listed(run)).cloned().collect();
@@ -299,7 +300,7 @@
         lease.tries = lease.tries.saturating_add(1);
         lease.phase = Phase::Fenced { until: now + self.options.fenced_pause };
         lease.poll_at = None;
-        log_keep(lease, KeepChange::Fenced, out);
+        log_keep(lease, KeepChange::Fenced, None, out);
         let runs: Vec<_> = lease.runs.keys().cloned().collect();
         for run in runs {
             self.end_run(now, id, &run, End::Unsure, Ending::Fenced, out);
@@ -312,7 +313,7 @@
         let Some(lease) = self.leases.get_mut(&id) else { return };
         if !lease.gone {
             lease.gone = true;
-            log_keep(lease, KeepChange::Gone, out);
+            log_keep(lease, KeepChange::Gone, None, out);
         }
         let lease = &*lease;
         let runs: Vec<_> = lease
@@ -362,7 +363,7 @@
     let is_idle = lease.runs.is_empty() && lease.phase == Phase::Ready && lease.missed_polls > 1;
     lease.poll_at = Some(if is_idle { again + idle } else { again });
     if lease.missed_polls == SILENT_POLLS {
-        log_keep(lease, KeepChange::Silent, out);
+        log_keep(lease, KeepChange::Silent, None, out);
     }
 }
 
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -10,7 +10,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use site::{
-    id::{EndpointId, ServiceId},
+    id::{EndpointId, Home, ServiceId},
     unit::{Resources, Revision, Span, Time},
 };
 use std::sync::Arc;
@@ -158,6 +158,11 @@
     pub cordon: Cordon,
     /// The latest revision of the platform's store that it has seen.
     pub revision: Revision,
+    /// Listed entries of the sender's data centre that it was connected to and no longer hears
+    /// from.
+    pub lost: Vec<Home>,
+    /// The highest fencing token that it uses.
+    pub highest_token: u64,
 }
 
 impl Report {
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -1,6 +1,6 @@
 //! Limits of an entry's logic.
 
-use crate::view::View;
+use crate::view::{Former, View};
 use serde::{Deserialize, Serialize};
 use site::{
     id::Home,
@@ -52,6 +52,12 @@
     /// registrations again, before other entries take these over. Above the time in which entries
     /// register and connect after a network partition.
     pub absence_patience: Span,
+    /// Whether the executors of an entry are taken over before its registration lapses, once most
+    /// entries of its data centre that are still heard from have lost it.
+    pub standby: bool,
+    /// An entry has to be silent for this long to be considered lost, also if its connection was
+    /// closed earlier. The idle timeout of a connection.
+    pub standby_silence: Span,
     /// Whether only entries that keep executors watch the executors' registrations. Otherwise all
     /// do.
     pub follow_if_keeper: bool,
@@ -178,10 +184,18 @@
         }
     }
 
-    /// Whether an executor that this entry has had to keep since `since` may be claimed.
-    pub(crate) fn is_settled(&self, now: Time, since: Time, view: &View) -> bool {
+    /// Whether an executor that this entry has had to keep since `since` may be claimed. No
+    /// connection has to come up if its former keeper is lost.
+    pub(crate) fn is_settled(
+        &self,
+        now: Time,
+        since: Time,
+        lost: Option<Former>,
+        view: &View,
+    ) -> bool {
         let waited = now.since(since);
-        waited >= self.settle_limit || (waited >= self.settle && view.is_connected())
+        let may_claim = view.is_connected() || self.standby && lost.is_some();
+        waited >= self.settle_limit || (waited >= self.settle && may_claim)
     }
 }
 
@@ -203,6 +217,8 @@
             settle: Span::from_millis(20),
             keeper_reserve: Cores(120),
             absence_patience: Span::from_millis(2_500),
+            standby: true,
+            standby_silence: Span::from_millis(800),
             follow_if_keeper: true,
             stopgap_patience: Span::from_millis(100),
             settle_limit: Span::from_millis(200),
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -1,8 +1,13 @@
 //! The entries that this one knows, and which of them keeps an executor.
 
 mod absent;
+mod former;
+mod lost;
+
+pub(crate) use former::Former;
 
 use absent::Absent;
+use lost::{Known, Lost};
 
 use crate::Executor;
 use membership::{keepers, mesh, rendezvous};
@@ -50,6 +55,7 @@
     /// Whether this entry is one of them.
     has_share: bool,
     absent: Absent,
+    lost: Lost,
     /// The connected entries, the nearest first.
     by_distance: Vec<Home>,
 }
@@ -83,6 +89,7 @@
             shares: Shares::default(),
             has_share: false,
             absent: Absent::default(),
+            lost: Lost::default(),
             by_distance: Vec::new(),
         };
         view.refresh();
@@ -131,12 +138,18 @@
 
     pub(crate) fn connect(&mut self, peer: Home) -> bool {
         self.connected.insert(peer);
+        self.lost.connect(peer);
         self.sort_connected();
         self.refresh()
     }
 
-    pub(crate) fn disconnect(&mut self, peer: Home) -> bool {
+    /// Records the loss of the connection to an entry that was last heard from at `heard`.
+    pub(crate) fn disconnect(&mut self, peer: Home, heard: Time) -> bool {
         self.connected.remove(&peer);
+        let is_replaced = self.connected.iter().any(|home| home.entry == peer.entry);
+        if peer.data_centre == self.me.data_centre && !is_replaced {
+            self.lost.disconnect(peer, heard);
+        }
         self.leaving.remove(&peer);
         self.idle.remove(&peer);
         self.sort_connected();
@@ -194,9 +207,50 @@
         self.by_distance = connected;
     }
 
-    /// Whether all listed entries that this one has to be connected to are connected.
+    /// Whether all listed entries that this one has to be connected to are connected or lost.
     pub(crate) fn is_connected(&self) -> bool {
-        self.partners.iter().all(|home| self.connected.contains(home))
+        let is_settled = |home: &Home| self.connected.contains(home) || self.lost.contains(home);
+        self.partners.iter().all(is_settled)
+    }
+
+    /// Records what an entry of this data centre reports of losses and of its fencing tokens.
+    pub(crate) fn record_losses(&mut self, from: Home, lost: Vec<Home>, token: u64) {
+        if from.data_centre == self.me.data_centre && self.connected.contains(&from) {
+            self.lost.record_report(from, lost, token);
+        }
+    }
+
+    /// Records that this process resumes after a pause, in which it heard from nobody.
+    pub(crate) fn resume(&mut self, now: Time) {
+        self.lost.resume(now);
+    }
+
+    /// Updates the entries of this data centre that this one has lost; returns whether there are
+    /// new ones.
+    pub(crate) fn update_losses(&mut self, now: Time, silence: Span) -> bool {
+        let known = Known { listed: &self.listed, connected: &self.connected };
+        self.lost.update_own(now, silence, &known)
+    }
+
+    /// Updates which entries of this data centre are considered lost; returns whether the keepers
+    /// changed.
+    pub(crate) fn confirm_losses(&mut self) -> bool {
+        let known = Known { listed: &self.listed, connected: &self.connected };
+        self.lost.confirm(self.me, &known) && self.refresh()
+    }
+
+    /// The entries of this data centre that this one has lost.
+    pub(crate) fn losses(&self) -> &[Home] {
+        self.lost.own()
+    }
+
+    /// The connected keepers of this data centre.
+    pub(crate) fn near_keepers(&self) -> impl Iterator<Item = Home> {
+        let has_share = |home: &Home| {
+            let kept = self.shares.local.iter().find(|(keeper, _)| keeper.entry == home.entry);
+            kept.is_some_and(|(_, weight)| weight.0 > 0)
+        };
+        self.connected().filter(move |home| has_share(home))
     }
 
     pub(crate) fn keepers(&self) -> &[Home] {
@@ -251,6 +305,12 @@
         }
     }
 
+    /// A bound for tokens that were used after `token` by entries that have taken executors over
+    /// and were lost themselves, once for each entry that is considered lost.
+    fn token_after_losses(&self, token: u64) -> u64 {
+        token + ((self.lost.len().saturating_sub(1) as u64) << TRY_SHIFT)
+    }
+
     fn refresh(&mut self) -> bool {
         let mut keepers = vec![self.me];
         keepers.extend(self.connected.iter().filter(|home| home.entry != self.me.entry));
@@ -260,7 +320,7 @@
         let listed: FxHashSet<Home> = self.listed.iter().copied().collect();
         keepers.sort_unstable_by_key(|home| (home.entry, !listed.contains(home), *home));
         keepers.dedup_by_key(|home| home.entry);
-        keepers.retain(|home| !self.leaving.contains(home));
+        keepers.retain(|home| !self.leaving.contains(home) && !self.lost.contains(home));
         let changed = keepers != self.keepers;
         if changed {
             self.keepers = keepers;
