--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -301,7 +301,7 @@
                 self.record_claim_answer(now, id, None, out);
             }
             Phase::Claiming { until } if until <= now => self.begin_polling(now, id, out),
-            Phase::Fenced { until } if until <= now => {
+            Phase::Fenced { until } if until <= now && self.options.may_claim_again(view) => {
                 lease.phase = Phase::Settling { since: now };
             }
             Phase::Settling { .. } | Phase::Claiming { .. } | Phase::Fenced { .. } => {}
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -197,6 +197,12 @@
         let may_claim = view.is_connected() || self.standby && lost.is_some();
         waited >= self.settle_limit || (waited >= self.settle && may_claim)
     }
+
+    /// Whether an executor that fenced this entry may be claimed again. Not while others, of which
+    /// this entry hears too few, may have taken it over: the two would fence each other in turn.
+    pub(crate) fn may_claim_again(&self, view: &View) -> bool {
+        !(self.standby && view.is_isolated())
+    }
 }
 
 /// A span multiplied by the number of peers.
--- a/components/runs/src/view/lost.rs
+++ b/components/runs/src/view/lost.rs
@@ -43,6 +43,26 @@
     pub(super) connected: &'a FxHashSet<Home>,
 }
 
+/// Numbers of entries of a data centre.
+pub(super) struct Heard {
+    /// Those that are heard from, this one included.
+    pub(super) heard: usize,
+    /// All that are known.
+    pub(super) all: usize,
+}
+
+impl Known<'_> {
+    /// Counts the entries of this entry's data centre.
+    pub(super) fn count(&self, me: Home) -> Heard {
+        let near = |home: &&Home| home.data_centre == me.data_centre;
+        let connected = self.connected.iter().filter(near).map(|home| home.entry);
+        let heard: FxHashSet<EntryId> = connected.chain([me.entry]).collect();
+        let listed = self.listed.iter().filter(near).map(|home| home.entry);
+        let all: FxHashSet<EntryId> = listed.chain(heard.iter().copied()).collect();
+        Heard { heard: heard.len(), all: all.len() }
+    }
+}
+
 impl Lost {
     /// Records a connection: no process of the entry is lost.
     pub(super) fn connect(&mut self, peer: Home) {
@@ -96,15 +116,9 @@
         if self.own.is_empty() && self.confirmed.is_empty() {
             return false;
         }
-        let in_data_centre = |home: &&Home| home.data_centre == me.data_centre;
-        let heard: FxHashSet<EntryId> =
-            known.connected.iter().filter(in_data_centre).map(|home| home.entry).collect();
-        let heard = heard.into_iter().chain([me.entry]).collect::<FxHashSet<_>>();
-        let listed = known.listed.iter().filter(in_data_centre).map(|home| home.entry);
-        let all: FxHashSet<EntryId> = listed.chain(heard.iter().copied()).collect();
-        let hears_most = heard.len() * 2 > all.len();
-        let is_confirmed =
-            |home: &&Home| hears_most && (1 + self.reports_of(home)) * 2 > heard.len();
+        let Heard { heard, all } = known.count(me);
+        let hears_most = heard * 2 > all;
+        let is_confirmed = |home: &&Home| hears_most && (1 + self.reports_of(home)) * 2 > heard;
         let confirmed: Vec<_> = self.own.iter().filter(is_confirmed).copied().collect();
         let changed = confirmed != self.confirmed;
         self.confirmed = confirmed;
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -7,7 +7,7 @@
 pub(crate) use former::Former;
 
 use absent::Absent;
-use lost::{Known, Lost};
+use lost::{Heard, Known, Lost};
 
 use crate::Executor;
 use membership::{keepers, mesh, rendezvous};
@@ -244,6 +244,14 @@
         self.lost.own()
     }
 
+    /// Whether this entry hears from half of its data centre or less, though there are others that
+    /// may consider it lost: they need to be a majority.
+    pub(crate) fn is_isolated(&self) -> bool {
+        let known = Known { listed: &self.listed, connected: &self.connected };
+        let Heard { heard, all } = known.count(self.me);
+        all > 2 && heard * 2 <= all
+    }
+
     /// The connected keepers of this data centre.
     pub(crate) fn near_keepers(&self) -> impl Iterator<Item = Home> {
         let has_share = |home: &Home| {
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -345,6 +345,11 @@
         FIRST_JOB_US + self.plan.seconds * 1_000_000
     }
 
+    /// Returns the number of executors that an entry was the last to begin to use.
+    pub fn kept_by(&self, node: usize) -> usize {
+        self.keepers.values().filter(|keeper| **keeper == node).count()
+    }
+
     /// Returns whether a planned stop of an entry has finished.
     pub fn has_exited(&self, node: usize) -> bool {
         self.nodes[node].exited
