Tokens of a takeover rise with the place in the order of keepers

An entry that takes over from a deputy that was lost too raised its token by the number of lost entries in its view, and two views may count differently: found while the model was written. The place in the order of an executor's keepers is the same for all of them.

--- a/components/runs/src/view/former.rs
+++ b/components/runs/src/view/former.rs
@@ -1,10 +1,10 @@
 //! The keepers that executors had before an entry was lost.
 
-use super::{Shares, View, without_incarnation};
+use super::{Shares, TRY_SHIFT, View, without_incarnation};
 use crate::Executor;
 use membership::rendezvous;
 use site::{
-    id::{DataCentreId, Home},
+    id::Home,
     unit::{Time, Weight},
 };
 
@@ -13,7 +13,8 @@
 pub(crate) struct Former {
     /// When it was last heard from.
     pub(crate) heard: Time,
-    /// No lower than the tokens of all lost keepers, by their latest reports.
+    /// No lower than the tokens of all lost keepers, by their latest reports, and than those that
+    /// lost entries that come before this one in order may have used since.
     pub(crate) token: u64,
 }
 
@@ -26,8 +27,9 @@
 
 /// The lost entries, the latest first.
 pub(crate) struct FormerKeepers {
+    me: Home,
     lost: Vec<LostKeeper>,
-    data_centre: DataCentreId,
+    /// The highest token that a lost entry has reported.
     token: u64,
 }
 
@@ -47,24 +49,33 @@
             let home = without_incarnation(&home);
             lost.push(LostKeeper { home, heard, shares: shares.local });
         }
-        FormerKeepers {
-            lost,
-            data_centre: self.me.data_centre,
-            token: self.token_after_losses(self.lost.highest_token()),
-        }
+        FormerKeepers { me: without_incarnation(&self.me), lost, token: self.lost.highest_token() }
     }
 }
 
 impl FormerKeepers {
     /// The lost keeper of an executor; `None` if its keeper is not lost.
     pub(crate) fn of(&self, executor: &Executor) -> Option<Former> {
-        if executor.data_centre != self.data_centre {
+        if executor.data_centre != self.me.data_centre {
             return None;
         }
         let kept = |lost: &&LostKeeper| {
             rendezvous::weighted_keeper(&lost.shares, executor.id) == Some(lost.home)
         };
         let former = self.lost.iter().find(kept)?;
-        Some(Former { heard: former.heard, token: self.token })
+        let others = self.lost_before_me(executor).saturating_sub(1) as u64;
+        Some(Former { heard: former.heard, token: self.token + (others << TRY_SHIFT) })
+    }
+
+    /// Number of lost entries that come before this one in the order of an executor's keepers.
+    fn lost_before_me(&self, executor: &Executor) -> usize {
+        let Some(all) = self.lost.last().map(|lost| &lost.shares) else { return 0 };
+        let share = |home: Home| all.iter().copied().find(|(other, _)| *other == home);
+        let Some(mine) = share(self.me) else { return 0 };
+        let comes_before = |lost: &&LostKeeper| {
+            let pair = share(lost.home).map(|theirs| [mine, theirs]);
+            pair.and_then(|pair| rendezvous::weighted_keeper(&pair, executor.id)) == Some(lost.home)
+        };
+        self.lost.iter().filter(comes_before).count()
     }
 }
--- a/components/runs/src/view/lost.rs
+++ b/components/runs/src/view/lost.rs
@@ -140,11 +140,6 @@
         self.confirmed.binary_search(home).is_ok()
     }
 
-    /// Number of entries that are considered lost.
-    pub(super) fn len(&self) -> usize {
-        self.confirmed.len()
-    }
-
     /// The disconnected entries and when each was last heard from, the latest first.
     pub(super) fn latest_silent(&self) -> Vec<(Home, Time)> {
         let mut silent: Vec<_> = self.silent.iter().map(|(home, heard)| (*home, *heard)).collect();
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -313,12 +313,6 @@
         }
     }
 
-    /// A bound for tokens that were used after `token` by entries that have taken executors over
-    /// and were lost themselves, once for each entry that is considered lost.
-    fn token_after_losses(&self, token: u64) -> u64 {
-        token + ((self.lost.len().saturating_sub(1) as u64) << TRY_SHIFT)
-    }
-
     fn refresh(&mut self) -> bool {
         let mut keepers = vec![self.me];
         keepers.extend(self.connected.iter().filter(|home| home.entry != self.me.entry));
--- a/components/runs/tests/standby.rs
+++ b/components/runs/tests/standby.rs
@@ -264,9 +264,15 @@
     let first = scene.tokens.clone();
     scene.lose(3);
     scene.wait(200);
+    let mut other = Scene::new(Options::default());
+    other.lose(3);
+    other.wait(200);
     let deputy_token = ((FORMER_TOKEN >> 16) + 1) << 16 | 0xffff;
-    let is_new = |id: &EndpointId| !before.contains_key(id) && !first.contains_key(id);
-    let taken: Vec<_> = scene.tokens.iter().filter(|(id, _)| is_new(id)).collect();
+    // Those that only the loss of both gives to this entry: one of the two was the other's deputy.
+    let has_had_deputy = |id: &EndpointId| {
+        [&before, &first, &other.tokens].iter().all(|tokens| !tokens.contains_key(id))
+    };
+    let taken: Vec<_> = scene.tokens.iter().filter(|(id, _)| has_had_deputy(id)).collect();
     assert!(!taken.is_empty());
     assert!(taken.iter().all(|(_, token)| **token > deputy_token), "{taken:?}");
 }
