Soak: entries that stay away until their executors had to be taken over

A killed entry was started again after 1 s at most, so that no play needed a takeover. Seeds from 30000 on kill one or two entries for 1.5 to 4 s; plans of lower seeds are unchanged.

--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -106,7 +106,8 @@
         duration: Duration,
     ) -> Result<(), Error> {
         match what {
-            EntryFault::Kill => self.kill(entry, duration).await?,
+            EntryFault::Kill => self.kill(entry, duration.min(MAX_DOWNTIME)).await?,
+            EntryFault::Lose => self.kill(entry, duration).await?,
             EntryFault::Freeze => self.freeze(entry, duration).await?,
             EntryFault::Terminate => self.terminate(entry).await?,
             EntryFault::ResetCallers => self.site.nodes[entry].callers.reset(),
@@ -191,10 +192,10 @@
         self.history.update(|record| record.leaving.push(Leaving { executor, at }));
     }
 
-    async fn kill(&self, entry: usize, duration: Duration) -> Result<(), Error> {
+    async fn kill(&self, entry: usize, downtime: Duration) -> Result<(), Error> {
         let mut process = self.process(entry).await;
         process.kill()?;
-        Timer::after(duration.min(MAX_DOWNTIME)).await;
+        Timer::after(downtime).await;
         Ok(process.restart()?)
     }
 
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -49,6 +49,10 @@
     /// Its process is killed and another one started.
     #[display("is killed")]
     Kill,
+    /// Its process is killed, and another one is started only after its executors had to be taken
+    /// over.
+    #[display("is killed and stays away")]
+    Lose,
     /// Its process is suspended.
     #[display("is suspended")]
     Freeze,
@@ -182,6 +186,16 @@
 /// existed still have the same plan.
 const FIRST_SEED_WITH_CRASHES: u64 = 10_000;
 
+/// Number of entries that are lost in a play that has such faults.
+const LOSS_COUNT: std::ops::RangeInclusive<usize> = 1..=2;
+
+/// Time in milliseconds until a lost entry is started again: above the 1.2 s within which its
+/// executors are in use again.
+const LOSS_DURATION_MS: std::ops::RangeInclusive<u64> = 1_500..=4_000;
+
+/// Plans of lower seeds lose no entry for that long, so that they stay what they were.
+const FIRST_SEED_WITH_LOSSES: u64 = 30_000;
+
 /// One play in this many has planned faults only.
 const PLANNED_ONLY_ONE_IN: u32 = 4;
 
@@ -212,6 +226,9 @@
             push_crashes(&mut random, size, &mut steps);
         }
     }
+    if seed >= FIRST_SEED_WITH_LOSSES && !planned_only {
+        push_losses(&mut random, size, &mut steps);
+    }
     steps.sort_by_key(|step| step.at);
     // At most a third of the executors may leave, so that the others can carry the load.
     let mut left = 0;
@@ -245,6 +262,16 @@
     }
 }
 
+/// Kills entries while callers keep the executors busy, for longer than a takeover takes.
+fn push_losses(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
+    for _ in 0..random.random_range(LOSS_COUNT) {
+        let at = random.random_range(0..size.faults_for.as_millis() as u64);
+        let duration = Duration::from_millis(random.random_range(LOSS_DURATION_MS));
+        let fault = Fault::Entry(random.random_range(0..size.entries), EntryFault::Lose);
+        steps.push(Step { at: Duration::from_millis(at), duration, fault });
+    }
+}
+
 /// Faults that an operator causes on purpose. The index is a placeholder.
 const PLANNED_FAULTS: [Fault; 3] = [
     Fault::Entry(0, EntryFault::Terminate),
