--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -31,6 +31,21 @@
 /// a site and their restarts in a normal day.
 const MAX_CLOCKS: usize = 1_000;
 
+/// The latest sign of life of a peer.
+#[derive(Clone, Copy, Debug)]
+struct Contact {
+    /// When its connection came up or its latest message arrived.
+    at: Time,
+    /// Whether its runs were stopped since then, since it was silent for too long.
+    is_silent: bool,
+}
+
+impl Contact {
+    fn new(at: Time) -> Self {
+        Self { at, is_silent: false }
+    }
+}
+
 /// The state machine of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -40,8 +55,8 @@
     keeper: Keeper,
     view: View,
     configuration: u64,
-    /// Time of the latest message of each connected peer. A peer that is considered lost has none.
-    last_contact: FxHashMap<Home, Time>,
+    /// The latest message of each connected peer.
+    last_contact: FxHashMap<Home, Contact>,
     /// Clock offsets of peers, kept beyond their connections.
     clocks: FxHashMap<Home, Offset>,
     /// Time of the latest event.
@@ -164,18 +179,20 @@
     /// for them.
     fn stop_runs_of_unresponsive_homes(&mut self, now: Time, out: &mut Vec<Action>) {
         let limit = self.options.peer_silence;
-        let unresponsive: Vec<_> = self
-            .last_contact
-            .extract_if(|_, at| now.since(*at) > limit)
-            .map(|(peer, _)| peer)
-            .collect();
+        let mut unresponsive = Vec::new();
+        for (peer, contact) in &mut self.last_contact {
+            if !contact.is_silent && now.since(contact.at) > limit {
+                contact.is_silent = true;
+                unresponsive.push(*peer);
+            }
+        }
         for peer in unresponsive {
             self.keeper.home_lost(now, peer, out);
         }
     }
 
     fn handle_message(&mut self, now: Time, from: Home, message: Message, out: &mut Vec<Action>) {
-        self.last_contact.insert(from, now);
+        self.last_contact.insert(from, Contact::new(now));
         match message {
             Message::Place(placement) => {
                 let offset = self.clocks.entry(from).or_default();
@@ -289,7 +306,7 @@
 
     fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.connect(peer);
-        self.last_contact.insert(peer, now);
+        self.last_contact.insert(peer, Contact::new(now));
         let report = self.report(now);
         out.push(self.report_to(peer, &report));
         let changed = self.view.connect(peer);
@@ -298,7 +315,7 @@
 
     fn peer_down(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.disconnect(peer);
-        self.last_contact.remove(&peer);
+        let heard = self.last_contact.remove(&peer).map_or(now, |contact| contact.at);
         // A restored connection to the same process can use the offset again.
         if self.clocks.len() > MAX_CLOCKS {
             self.clocks.retain(|home, _| self.last_contact.contains_key(home));
@@ -307,7 +324,7 @@
         self.keeper.home_lost(now, peer, out);
         self.keeper.peer_lost(now, peer, out);
         self.keeper.speeds.forget(peer);
-        let changed = self.view.disconnect(peer);
+        let changed = self.view.disconnect(peer, heard);
         self.view_changed(now, changed, out);
     }
 
@@ -328,6 +345,22 @@
         }
     }
 
+    /// Updates which entries of this data centre are lost, and tells its keepers of new losses:
+    /// they take the executors over.
+    fn update_losses(&mut self, now: Time, out: &mut Vec<Action>) {
+        let has_new = self.view.update_losses(now, self.options.standby_silence);
+        if !self.options.standby {
+            return;
+        }
+        if has_new {
+            let report = self.report(now);
+            let near: Vec<_> = self.view.near_keepers().collect();
+            out.extend(near.into_iter().map(|to| self.report_to(to, &report)));
+        }
+        let changed = self.view.confirm_losses();
+        self.view_changed(now, changed, out);
+    }
+
     fn reconcile(&mut self, now: Time, out: &mut Vec<Action>) {
         self.reconciled = now;
         self.unreconciled = false;
@@ -335,6 +368,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.update_losses(now, out);
         self.unreconciled |= self.view.give_up_absent(now, self.options.absence_patience);
         if self.unreconciled || now.since(self.reconciled) >= RECONCILE_INTERVAL {
             self.reconcile(now, out);
@@ -355,6 +389,7 @@
         let own = self.jobs.pause(now, out);
         self.keeper.cancel(now, &own, out);
         self.keeper.pause();
+        self.view.resume(now);
     }
 
     /// Places and starts tasks until nothing changes any more, then sends reports.
@@ -419,6 +454,15 @@
             cordon: self.keeper.cordon().clone(),
             revision: self.view.revision(),
             kinds: Vec::new(),
+            lost: self.reported_losses(),
+            highest_token: self.keeper.highest_token(),
+        }
+    }
+
+    fn reported_losses(&self) -> Vec<Home> {
+        match self.options.standby {
+            true => self.view.losses().to_vec(),
+            false => Vec::new(),
         }
     }
 
@@ -451,7 +495,11 @@
     fn handle_report(&mut self, now: Time, from: Home, mut report: Report, out: &mut Vec<Action>) {
         self.clocks.entry(from).or_default().age(now, report.sent);
         self.view.observe_revision(report.revision);
-        let changed = self.view.set_leaving(from, report.leaving);
+        let mut changed = self.view.set_leaving(from, report.leaving);
+        self.view.record_losses(from, report.lost.clone(), report.highest_token);
+        if self.options.standby {
+            changed |= self.view.confirm_losses();
+        }
         self.view.set_idle(from, report.idle);
         let kinds = std::mem::take(&mut report.kinds);
         // A late message of a disconnected peer would otherwise count until this process ends.
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -185,6 +185,11 @@
     /// Speeds of kinds of executors; empty if they are unchanged since the last report to the
     /// receiver.
     pub kinds: Vec<Measure>,
+    /// Listed entries of the sender's data centre that it was connected to and no longer hears
+    /// from.
+    pub lost: Vec<Home>,
+    /// The highest fencing token that it uses.
+    pub highest_token: u64,
 }
 
 impl Report {
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -135,6 +135,12 @@
     nodes: Vec<Node>,
     slots: Vec<Slot>,
     links: BTreeSet<(Home, Home)>,
+    /// Pairs of entries that can't reach each other, the lower index first, and until when.
+    cut_links: BTreeMap<(usize, usize), Time>,
+    /// The entry that last reported each executor as ready, by the executor's name.
+    keepers: FxHashMap<CompactString, usize>,
+    /// Executors whose keeper was killed or frozen, and when.
+    unkept_since: FxHashMap<CompactString, Time>,
     callers: BTreeMap<u64, Caller>,
     revision: u64,
     /// Data centres under cordon, each with the time since when.
@@ -159,6 +165,10 @@
     pub reports: u64,
     /// What entries did with tasks and sent to each other while jobs arrived.
     pub traffic: Traffic,
+    /// For each executor whose keeper was killed or frozen, the time until it was in use again.
+    pub unkept: Vec<Span>,
+    /// How often an entry found that another one holds an executor with a higher token.
+    pub fences: usize,
 }
 
 impl Simulation {
@@ -196,6 +206,9 @@
             nodes,
             slots,
             links: BTreeSet::new(),
+            cut_links: BTreeMap::new(),
+            keepers: FxHashMap::default(),
+            unkept_since: FxHashMap::default(),
             callers: BTreeMap::new(),
             revision: 1,
             cordons: BTreeMap::new(),
@@ -211,6 +224,8 @@
             begun_work: 0,
             reports: 0,
             traffic: Traffic::default(),
+            unkept: Vec::new(),
+            fences: 0,
         };
         for node in 0..simulation.nodes.len() {
             simulation.start_entry(node);
@@ -335,6 +350,11 @@
         FIRST_JOB_US + self.plan.seconds * 1_000_000
     }
 
+    /// Returns the number of executors that an entry was the last to begin to use.
+    pub fn kept_by(&self, node: usize) -> usize {
+        self.keepers.values().filter(|keeper| **keeper == node).count()
+    }
+
     /// Returns whether a planned stop of an entry has finished.
     pub fn has_exited(&self, node: usize) -> bool {
         self.nodes[node].exited
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -66,6 +66,11 @@
     pub refusal_ms: (f64, f64),
     /// What entries did with tasks and sent to each other.
     pub traffic: Traffic,
+    /// Median and maximum of the time for which an executor was without a keeper, in milliseconds,
+    /// after its keeper was killed or frozen; 0 if none was.
+    pub unkept_ms: (f64, f64),
+    /// How often an entry was fenced.
+    pub fences: usize,
 }
 
 impl Group {
