--- a/lab/src/cmd/compare.rs
+++ b/lab/src/cmd/compare.rs
@@ -5,10 +5,10 @@
 use lab::{
     compare::Difference,
     pattern::{Pattern, PatternError},
-    tally::Tally,
+    tally::{Group, Tally},
     trial,
 };
-use std::path::PathBuf;
+use std::{collections::BTreeMap, path::PathBuf};
 
 /// Arguments of `compare`.
 #[derive(Args)]
@@ -50,6 +50,27 @@
         figure("worst kind", Tally::worst_kind);
         figure("worst zone", Tally::worst_data_centre);
         figure("late", |tally| tally.all.late_share());
+        figure("refused", |tally| tally.all.refused_share());
+        figure("had room", |tally| tally.all.had_room as f64 / tally.all.jobs.max(1) as f64);
+        let refused = |name: &str, groups: fn(&Tally) -> &BTreeMap<usize, Group>| {
+            let shares = |tallies: &[Tally]| refused_shares(tallies, groups);
+            println!("  refused by {name}: {} then {}", shares(&first), shares(&second));
+        };
+        refused("kind", |tally| &tally.kinds);
+        refused("width", |tally| &tally.widths);
+        refused("data centre", |tally| &tally.zones);
     }
     Ok(())
 }
+
+/// Returns the mean refused share of each group, in percent.
+fn refused_shares(tallies: &[Tally], groups: fn(&Tally) -> &BTreeMap<usize, Group>) -> String {
+    let mut keys: Vec<_> = tallies.iter().flat_map(|tally| groups(tally).keys()).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    let mean = |key| {
+        let share = |tally: &Tally| groups(tally).get(key).map_or(0.0, Group::refused_share);
+        format!("{:.1}%", trial::mean(tallies, share) * 100.0)
+    };
+    keys.into_iter().map(mean).collect::<Vec<_>>().join(" ")
+}
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -211,6 +211,7 @@
             | Fault::Drain { entry } => *entry < entries,
             Fault::Dark { executor, .. }
             | Fault::Crash { executor }
+            | Fault::Down { executor, .. }
             | Fault::Fails { executor, .. }
             | Fault::Slow { executor, .. }
             | Fault::Leave { executor } => *executor < executors,
--- a/lab/src/simulation/faults.rs
+++ b/lab/src/simulation/faults.rs
@@ -48,12 +48,8 @@
             Fault::Dark { executor, ms } => {
                 self.slots[executor].fake.unresponsive_until = Time(self.now.0 + ms * 1_000);
             }
-            Fault::Crash { executor } => {
-                let fake = &mut self.slots[executor].fake;
-                fake.up = false;
-                fake.running.clear();
-                self.after(500_000, Step::ReplaceExecutor(executor));
-            }
+            Fault::Crash { executor } => self.crash(executor, 500_000),
+            Fault::Down { executor, ms } => self.crash(executor, ms * 1_000),
             Fault::Fails { executor, ms } => {
                 self.slots[executor].fake.fails = true;
                 self.after(ms * 1_000, Step::EndFault(fault));
@@ -79,6 +75,14 @@
         }
     }
 
+    /// Ends an executor and what runs there; its next incarnation starts after `pause_us`.
+    fn crash(&mut self, executor: usize, pause_us: u64) {
+        let fake = &mut self.slots[executor].fake;
+        fake.up = false;
+        fake.running.clear();
+        self.after(pause_us, Step::ReplaceExecutor(executor));
+    }
+
     pub(super) fn give_up(&mut self) {
         let open: Vec<_> = self
             .callers
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -105,6 +105,13 @@
         /// Index of the executor.
         executor: usize,
     },
+    /// An executor crashes; another incarnation follows after the given time.
+    Down {
+        /// Index of the executor.
+        executor: usize,
+        /// Duration in milliseconds.
+        ms: u64,
+    },
     /// An executor fails all tasks that it starts.
     Fails {
         /// Index of the executor.
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -58,6 +58,8 @@
     pub zones: BTreeMap<usize, Group>,
     /// The tenth of each kind with the most work, by index of the kind.
     pub largest: BTreeMap<usize, Group>,
+    /// Groups by width: jobs of at most two tasks, of up to ten, and of more.
+    pub widths: BTreeMap<usize, Group>,
     /// Groups by number of the window in which jobs were submitted.
     pub windows: BTreeMap<u64, Group>,
     /// Work of all started tasks, relative to the executors' cores over the time of the arrivals.
@@ -94,6 +96,11 @@
         if self.owed > 0.0 { self.earned / self.owed } else { 1.0 }
     }
 
+    /// Returns the part of the jobs that were refused.
+    pub fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.jobs.max(1) as f64
+    }
+
     /// Returns the part of the completed jobs that were late.
     pub fn late_share(&self) -> f64 {
         self.late as f64 / (self.late + self.in_time).max(1) as f64
@@ -118,6 +125,7 @@
             tally.all.add(record, worth);
             tally.kinds.entry(arrival.kind).or_default().add(record, worth);
             tally.zones.entry(arrival.data_centre).or_default().add(record, worth);
+            tally.widths.entry(width_class(arrival.job.tasks)).or_default().add(record, worth);
             tally.windows.entry(window).or_default().add(record, worth);
             if arrival.work() >= of_kind.large {
                 tally.largest.entry(arrival.kind).or_default().add(record, worth);
@@ -163,6 +171,14 @@
     }
 }
 
+fn width_class(tasks: u16) -> usize {
+    match tasks {
+        0..=2 => 0,
+        3..=10 => 1,
+        _ => 2,
+    }
+}
+
 fn worst(groups: &BTreeMap<usize, Group>) -> f64 {
     groups.values().map(Group::share).min_by(f64::total_cmp).unwrap_or(1.0)
 }
