Admission by forecast or by shares, beside the common limit

One limit for all jobs refused short jobs with many tasks two to four times as often as others, since jobs of one or two tasks fit the gaps that are left.

Entries report the jobs of the last second by length and width (arrived, refused, work admitted) and pending work by its latest start. The setting admission_policy chooses: forecast (default) counts only the work that is served before the job, and shrinks the limits of groups that are refused less often; shares gives the smallest limit to the length with the most admitted work; common is the former limit.

--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -7,6 +7,7 @@
 };
 use runs::{
     Decision,
+    demand::Group,
     executor::{Response, StartResponse},
     job::Answer,
 };
@@ -26,6 +27,8 @@
     stops: Counter<u64>,
     failures: Counter<u64>,
     store: Counter<u64>,
+    refused: Counter<u64>,
+    admission_limit: Gauge<f64>,
     response: Histogram<f64>,
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
@@ -48,6 +51,13 @@
             stops: counter("run_stops", "Stops sent to executors, by response"),
             failures: counter("run_failures", "Runs that ended otherwise than well"),
             store: counter("store_calls", "Calls to the platform's store, by outcome"),
+            refused: counter("jobs_refused", "Jobs refused, by task length and number of tasks"),
+            admission_limit: meter
+                .f64_gauge("admission_limit_seconds")
+                .with_description(
+                    "Longest expected wait at which the latest job of a group was admitted",
+                )
+                .build(),
             response: meter
                 .f64_histogram("job_response_seconds")
                 .with_description("Time from a job's arrival to its answer")
@@ -82,6 +92,12 @@
     pub(crate) fn decided(&self, decision: &Decision) {
         match decision {
             Decision::RunEnded { .. } => self.failures.add(1, &[]),
+            Decision::Admit { limit, group, .. } => {
+                self.admission_limit.record(limit.0 as f64 / 1e6, &labels(*group));
+            }
+            Decision::Answer { answer: "refused", group, .. } => {
+                self.refused.add(1, &labels(*group));
+            }
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
                 self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
@@ -121,6 +137,11 @@
     }
 }
 
+fn labels(group: Group) -> [KeyValue; 2] {
+    let Group { length, width } = group;
+    [KeyValue::new("length", length.as_str()), KeyValue::new("width", width.as_str())]
+}
+
 fn name<T>(reply: &Response<T>) -> &'static str {
     match reply {
         Response::Done(_) => "done",
--- a/components/runs/src/action.rs
+++ b/components/runs/src/action.rs
@@ -3,6 +3,7 @@
 use crate::{
     Message,
     clock::RemoteTime,
+    demand::Group,
     executor::{Refusal, RunResult},
     job::{Answer, Run},
     message::End,
@@ -112,6 +113,9 @@
         foreseen: Option<Span>,
         /// Longest expected wait at which the job is still admitted.
         limit: Span,
+        /// The job's group among those that compete for scarce capacity.
+        #[serde(serialize_with = "text")]
+        group: Group,
     },
     /// Tasks of a job were sent to a keeper.
     Place {
@@ -209,6 +213,9 @@
         waiting: usize,
         /// How many tasks of this job all keepers have room for, by their latest reports.
         room: u32,
+        /// The job's group among those that compete for scarce capacity.
+        #[serde(serialize_with = "text")]
+        group: Group,
     },
     /// A caller left before its answer.
     Left {
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -354,6 +354,8 @@
 
     fn report(&self, now: Time) -> Report {
         let load = self.load(now);
+        let demand = self.jobs.demand(now);
+        let data_centre_demand = self.jobs.peers.demand(now, self.me.data_centre, demand);
         Report {
             sent: now,
             room: self.keeper.room(now),
@@ -366,6 +368,8 @@
             configuration: self.configuration,
             cordon: self.keeper.cordon().clone(),
             revision: self.view.revision(),
+            demand: Box::new(demand),
+            data_centre_demand: Box::new(data_centre_demand),
         }
     }
 
--- a/components/runs/src/home/admission.rs
+++ b/components/runs/src/home/admission/common.rs
@@ -1,4 +1,4 @@
-//! Decides whether a job is admitted or rejected at once.
+//! One limit of the wait for all jobs.
 //!
 //! Guards against lasting overload. Without it, jobs wait until they are almost late, nearly all of
 //! them do, and what starts then ends late, first of all short jobs with many tasks. A job is
@@ -15,7 +15,7 @@
 const MAX_WAIT_PERCENT: u64 = 50;
 
 /// A wait below this is always accepted: the reports that it is computed from are about as old.
-const MIN_WAIT_LIMIT: Span = Span::from_millis(10);
+pub(super) const MIN_WAIT_LIMIT: Span = Span::from_millis(10);
 
 /// Number of jobs after which the slack of an earlier, more urgent job counts for little.
 const MEMORY_JOBS: u64 = 64;
@@ -37,19 +37,19 @@
     }
 }
 
-/// Decides which jobs are admitted.
+/// The limit for all jobs, learnt from the most urgent recent ones.
 #[derive(Debug, Default)]
-pub(crate) struct Admission {
+pub(super) struct CommonLimit {
     /// The slack of the most urgent recent jobs.
     tightest: Option<Span>,
     /// Moving average of the tasks' estimates.
     usual: Span,
 }
 
-impl Admission {
+impl CommonLimit {
     /// Estimates the wait of a job with this estimate and slack, and updates the averages. `load`
     /// is the sum over all known entries.
-    pub(crate) fn estimate_wait(
+    pub(super) fn estimate_wait(
         &mut self,
         estimate: Span,
         slack: Span,
@@ -58,7 +58,12 @@
         self.learn(estimate, slack);
         let tightest = self.tightest.unwrap_or_default();
         let limit = Span(tightest.0 * MAX_WAIT_PERCENT / 100).max(MIN_WAIT_LIMIT);
-        WaitEstimate { wait: load.expected_wait(self.usual), limit }
+        WaitEstimate { wait: self.expected_wait(load), limit }
+    }
+
+    /// The expected wait behind the pending work of a load.
+    pub(super) fn expected_wait(&self, load: &Load) -> Option<Span> {
+        load.expected_wait(self.usual)
     }
 
     fn learn(&mut self, estimate: Span, slack: Span) {
--- /dev/null
+++ b/components/runs/src/home/admission/mod.rs
@@ -0,0 +1,83 @@
+//! Decides whether a job is admitted or rejected at once.
+
+mod common;
+mod forecast;
+mod shares;
+mod window;
+
+pub(super) use common::WaitEstimate;
+
+use crate::{
+    Job,
+    demand::{Demand, Group},
+    load::Load,
+    options::Policy,
+};
+use common::CommonLimit;
+use site::unit::{Span, Time};
+use window::Window;
+
+/// What the entries of a site report together.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Totals {
+    pub(crate) load: Load,
+    pub(crate) demand: Demand,
+}
+
+/// Decides which jobs are admitted.
+#[derive(Debug)]
+pub(super) struct Admission {
+    policy: Policy,
+    common: CommonLimit,
+    window: Window,
+}
+
+impl Admission {
+    pub(super) fn new(policy: Policy) -> Self {
+        Self { policy, common: CommonLimit::default(), window: Window::default() }
+    }
+
+    /// Estimates the wait of a job with this slack, and updates the averages. `totals` sums all
+    /// known entries.
+    pub(super) fn estimate_wait(
+        &mut self,
+        job: &Job,
+        slack: Span,
+        totals: &Totals,
+    ) -> WaitEstimate {
+        let Totals { load, demand } = totals;
+        let common = self.common.estimate_wait(job.estimate, slack, load);
+        let group = Group::of(job);
+        let limit = match self.policy {
+            // The deadline is missed already, as for jobs that are submitted again: they are served
+            // last.
+            _ if slack == Span::ZERO => return common,
+            Policy::Common => return common,
+            Policy::Forecast => forecast::limit(group, slack, common.limit, demand),
+            Policy::Shares => shares::limit(group, slack, demand),
+        };
+        let ahead = load.pending - demand.behind(slack, load);
+        let wait = self.common.expected_wait(&Load { pending: ahead, ..*load });
+        WaitEstimate { wait, limit: limit.max(common::MIN_WAIT_LIMIT) }
+    }
+
+    /// Records the arrival of a job.
+    pub(super) fn arrived(&mut self, now: Time, job: &Job) {
+        self.window.arrived(now, job);
+    }
+
+    /// Records the admission of a job.
+    pub(super) fn admitted(&mut self, now: Time, job: &Job) {
+        self.window.admitted(now, job);
+    }
+
+    /// Records the rejection of a job for lack of room, on arrival or later.
+    pub(super) fn refused(&mut self, now: Time, job: &Job) {
+        self.window.refused(now, job);
+    }
+
+    /// The jobs of the last second.
+    pub(super) fn demand(&self, now: Time) -> Demand {
+        self.window.demand(now)
+    }
+}
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -11,18 +11,19 @@
 use crate::{
     Action, Job, Message, Options,
     action::{Decision, Reason},
+    demand::{Demand, Group},
     job::{Answer, Key, Task},
     keeper::Offer,
     load::Load,
     message::{End, Ended, Moved, Room},
 };
-use admission::Admission;
+use admission::{Admission, Totals};
 use job::{OpenJob, TaskState};
 use retry_delays::RetryDelays;
 use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{Home, WaiterId},
-    unit::Time,
+    unit::{Span, Time},
 };
 
 /// The open jobs that this entry answers.
@@ -47,7 +48,7 @@
             open: FxHashMap::default(),
             waiters: FxHashMap::default(),
             latest_number: 0,
-            admission: Admission::default(),
+            admission: Admission::new(options.admission_policy),
             retry_delays: RetryDelays::default(),
             peers: Peers::default(),
         }
@@ -74,11 +75,16 @@
         self.latest_number += 1;
         let key = Key { home: self.me, number: self.latest_number };
         let own_load = [own.load, self.load()].into_iter().sum();
-        let load = self.peers.site_load(now, self.me.data_centre, own_load);
+        self.admission.arrived(now, &job);
+        let own_totals = Totals { load: own_load, demand: self.demand(now) };
+        let totals = self.peers.totals(now, self.me.data_centre, own_totals);
         let slack = job.start_by(self.options.caution_percent).since(now);
-        let estimate = self.admission.estimate_wait(job.estimate, slack, &load);
+        let estimate = self.admission.estimate_wait(&job, slack, &totals);
         let has_room = self.options.fill && self.has_room(now, &own.room, &job);
         let admitted = !self.options.admission || has_room || estimate.is_acceptable();
+        if admitted {
+            self.admission.admitted(now, &job);
+        }
         out.push(Action::Log(Decision::Admit {
             job: job.name.clone(),
             request: job.request.clone(),
@@ -89,6 +95,7 @@
             waiting: self.pending_jobs(),
             foreseen: estimate.wait,
             limit: estimate.limit,
+            group: Group::of(&job),
         }));
         self.waiters.insert(waiter, key.number);
         self.open.insert(key.number, OpenJob::new(now, key, waiter, job));
@@ -129,6 +136,18 @@
         Load { pending: self.open.values().map(OpenJob::pending_cores).sum(), ..Load::default() }
     }
 
+    /// The jobs of the last second here, and the pending work by urgency.
+    pub(crate) fn demand(&self, now: Time) -> Demand {
+        let mut demand = self.admission.demand(now);
+        for open in self.open.values() {
+            let slack = open.job.start_by(self.options.caution_percent).since(now);
+            // Jobs that can't be in time any more are served last.
+            let slack = if slack == Span::ZERO { Span(u64::MAX) } else { slack };
+            demand.add_pending(slack, open.pending_cores());
+        }
+        demand
+    }
+
     /// Drops the job of a caller that has left. Returns tasks of this entry's own executors to
     /// cancel.
     pub(crate) fn leave(&mut self, waiter: WaiterId, out: &mut Vec<Action>) -> Vec<Task> {
@@ -302,6 +321,9 @@
         let (answer, name) = match why {
             Reason::AllDone => (Answer::Completed, "completed"),
             _ if open.is_unstarted() => {
+                if matches!(why, Reason::Overload | Reason::NoRoomInTime) {
+                    self.admission.refused(now, &open.job);
+                }
                 let retry_after = self.retry_delays.record_rejection(now, &open.job.name);
                 (Answer::Rejected { retry_after }, "refused")
             }
@@ -319,6 +341,7 @@
             late_by: now.since(open.job.due),
             waiting: self.pending_jobs(),
             room: self.peers.with_room(now).map(|(_, room)| room.count(cores)).sum(),
+            group: Group::of(&open.job),
         }));
         out.push(Action::Answer { waiter: open.waiter, answer });
         self.cancel_placed(&open, out)
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -1,6 +1,8 @@
 //! The latest reports of connected entries.
 
+use super::admission::Totals;
 use crate::{
+    demand::Demand,
     load::{Load, Summary},
     message::{Report, Room},
 };
@@ -64,22 +66,30 @@
         there.fold(Summary::default().with(own), |sum, (_, report)| sum.with(report.load))
     }
 
-    /// The load of the site, from the latest reports. For each data centre it is the sum that
+    /// The load and demand of the site, from the latest reports. For each data centre it is the sum that
     /// covers the most entries: that of the connected ones, or one that an entry there reports.
-    pub(crate) fn site_load(&self, now: Time, own: DataCentreId, load: Load) -> Load {
-        let mut sums: BTreeMap<DataCentreId, Summary> = BTreeMap::new();
-        sums.insert(own, Summary::default().with(load));
+    pub(crate) fn totals(&self, now: Time, data_centre: DataCentreId, own: Totals) -> Totals {
+        let mut sums: BTreeMap<DataCentreId, (Summary, Demand)> = BTreeMap::new();
+        sums.insert(data_centre, (Summary::default().with(own.load), own.demand));
         for (home, report) in self.fresh(now) {
-            let sum = sums.entry(home.data_centre).or_default();
+            let (sum, demand) = sums.entry(home.data_centre).or_default();
             *sum = sum.with(report.load);
+            *demand = [*demand, *report.demand].into_iter().sum();
         }
         for (home, report) in self.fresh(now) {
             let sum = sums.entry(home.data_centre).or_default();
-            if report.data_centre_load.entries > sum.entries {
-                *sum = report.data_centre_load;
+            if report.data_centre_load.entries > sum.0.entries {
+                *sum = (report.data_centre_load, *report.data_centre_demand);
             }
         }
-        sums.into_values().map(|summary| summary.load).sum()
+        let load = sums.values().map(|(summary, _)| summary.load).sum();
+        Totals { load, demand: sums.into_values().map(|(_, demand)| demand).sum() }
+    }
+
+    /// The sum of the demands that [`summary`](Self::summary) covers.
+    pub(crate) fn demand(&self, now: Time, data_centre: DataCentreId, own: Demand) -> Demand {
+        let there = self.fresh(now).filter(|(home, _)| home.data_centre == data_centre);
+        there.map(|(_, report)| *report.demand).chain([own]).sum()
     }
 
     fn fresh(&self, now: Time) -> impl Iterator<Item = (Home, &Report)> {
--- a/components/runs/src/lib.rs
+++ b/components/runs/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod action;
 pub mod clock;
 pub mod cordon;
+pub mod demand;
 pub mod entry;
 pub mod event;
 pub mod executor;
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     Cordon,
+    demand::Demand,
     executor::Incarnation,
     job::{Run, Task},
     load::{Load, Summary},
@@ -158,6 +159,11 @@
     pub cordon: Cordon,
     /// The latest revision of the platform's store that it has seen.
     pub revision: Revision,
+    /// What callers ask the sender for, and how urgent its pending work is. Boxed to keep messages
+    /// small in memory.
+    pub demand: Box<Demand>,
+    /// The sum of the demands of the entries that `data_centre_load` sums.
+    pub data_centre_demand: Box<Demand>,
 }
 
 impl Report {
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -16,6 +16,19 @@
     Scarce,
 }
 
+/// How the limit of a job's expected wait is chosen.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// One limit for all jobs, from the most urgent ones, and one wait behind all pending work.
+    Common,
+    /// Each job's own slack and the work served before it; the limits of groups that are rejected
+    /// less often than others shrink.
+    Forecast,
+    /// The same wait; the limits of the groups that use the most of the capacity are the smallest.
+    Shares,
+}
+
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
 ///
 /// The names are those of the settings, where a poll of an executor is called a look.
@@ -100,6 +113,8 @@
     pub begun_first: bool,
     /// Whether jobs are rejected at once while too much work is pending.
     pub admission: bool,
+    /// How the limit of a job's wait is chosen.
+    pub admission_policy: Policy,
     /// Whether a job that fits into the known room is admitted whatever else is pending. Pending
     /// tasks can't use that room: they are larger.
     pub fill: bool,
@@ -221,6 +236,7 @@
             spread: true,
             begun_first: true,
             admission: true,
+            admission_policy: Policy::Forecast,
             fill: true,
             report_interval: Span::from_millis(15),
             report_interval_share: Span::from_millis(1),
