Admission by forecast; retries follow the ratio of rejected jobs

Callers of rejected jobs retry within the time in which the room becomes free that those rejected so far need, at most for as long as the overload has lasted.

--- a/components/runs/src/demand.rs
+++ b/components/runs/src/demand.rs
@@ -115,20 +115,12 @@
     pub asked: u32,
     /// Jobs that were rejected for lack of room.
     pub refused: u32,
-    /// Work of the admitted ones, in thousandths of a core times milliseconds.
-    pub admitted: u64,
 }
 
 impl Count {
     fn part(self, numerator: u64, denominator: u64) -> Self {
-        let part = |count: u64| {
-            (u128::from(count) * u128::from(numerator) / u128::from(denominator.max(1))) as u64
-        };
-        Self {
-            asked: part(u64::from(self.asked)) as u32,
-            refused: part(u64::from(self.refused)) as u32,
-            admitted: part(self.admitted),
-        }
+        let part = |count: u32| (u64::from(count) * numerator / denominator.max(1)) as u32;
+        Self { asked: part(self.asked), refused: part(self.refused) }
     }
 }
 
@@ -137,7 +129,6 @@
         counts.fold(Count::default(), |sum, count| Count {
             asked: sum.asked.saturating_add(count.asked),
             refused: sum.refused.saturating_add(count.refused),
-            admitted: sum.admitted.saturating_add(count.admitted),
         })
     }
 }
--- a/components/runs/src/home/admission/forecast.rs
+++ b/components/runs/src/home/admission/forecast.rs
@@ -14,7 +14,7 @@
 
 /// Number of jobs with the mean rejection rate that are added to each class, so that a few
 /// rejections in a small class do not count as a difference between classes.
-const PRIOR_JOBS: u64 = 20;
+const PRIOR_JOBS: u64 = 60;
 
 /// Difference in rejection rates, in thousandths, that is left uncorrected.
 const TOLERANCE: u64 = 5;
@@ -34,6 +34,16 @@
     }
 }
 
+/// Rejected jobs of a group for each thousand admitted ones in the last second.
+pub(super) fn refusal_ratio(group: Group, demand: &Demand) -> u64 {
+    let ratio = |count: &Count| {
+        let refused = u64::from(count.refused) * 1_000;
+        let admitted = u64::from(count.asked.saturating_sub(count.refused));
+        refused / admitted.max(1)
+    };
+    ratio(&demand.lengths[group.length as usize]).max(ratio(&demand.widths[group.width as usize]))
+}
+
 /// By how many thousandths jobs of a group are rejected less often than those of the class with the
 /// highest rejection rate.
 fn advantage(group: Group, demand: &Demand) -> u64 {
--- a/components/runs/src/home/admission/mod.rs
+++ b/components/runs/src/home/admission/mod.rs
@@ -2,7 +2,6 @@
 
 mod common;
 mod forecast;
-mod shares;
 mod window;
 
 pub(super) use common::WaitEstimate;
@@ -17,6 +16,10 @@
 use site::unit::{Span, Time};
 use window::Window;
 
+/// The ratio of rejected to admitted jobs, in thousandths, from which on retries are spread over
+/// the whole time that the overload has lasted.
+const ALL_REFUSED: u64 = 1_000;
+
 /// What the entries of a site report together.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Totals {
@@ -54,23 +57,26 @@
             _ if slack == Span::ZERO => return common,
             Policy::Common => return common,
             Policy::Forecast => forecast::limit(group, slack, common.limit, demand),
-            Policy::Shares => shares::limit(group, slack, demand),
         };
         let ahead = load.pending - demand.behind(slack, load);
         let wait = self.common.expected_wait(&Load { pending: ahead, ..*load });
         WaitEstimate { wait, limit: limit.max(common::MIN_WAIT_LIMIT) }
     }
 
+    /// Rejected jobs of a job's group for each thousand admitted ones, as far as retries depend on
+    /// it.
+    pub(super) fn refusal_ratio(&self, job: &Job, demand: &Demand) -> u64 {
+        match self.policy {
+            Policy::Common => ALL_REFUSED,
+            Policy::Forecast => forecast::refusal_ratio(Group::of(job), demand),
+        }
+    }
+
     /// Records the arrival of a job.
     pub(super) fn arrived(&mut self, now: Time, job: &Job) {
         self.window.arrived(now, job);
     }
 
-    /// Records the admission of a job.
-    pub(super) fn admitted(&mut self, now: Time, job: &Job) {
-        self.window.admitted(now, job);
-    }
-
     /// Records the rejection of a job for lack of room, on arrival or later.
     pub(super) fn refused(&mut self, now: Time, job: &Job) {
         self.window.refused(now, job);
--- a/components/runs/src/home/admission/window.rs
+++ b/components/runs/src/home/admission/window.rs
@@ -25,13 +25,6 @@
         self.add(now, job, Count { asked: 1, ..Count::default() });
     }
 
-    /// Counts the admission of a job.
-    pub(super) fn admitted(&mut self, now: Time, job: &Job) {
-        let cores = u64::from(job.needs.cores.0) * u64::from(job.tasks);
-        let admitted = cores.saturating_mul(job.estimate.as_millis());
-        self.add(now, job, Count { admitted, ..Count::default() });
-    }
-
     /// Counts the rejection of a job.
     pub(super) fn refused(&mut self, now: Time, job: &Job) {
         self.add(now, job, Count { refused: 1, ..Count::default() });
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -82,9 +82,6 @@
         let estimate = self.admission.estimate_wait(&job, slack, &totals);
         let has_room = self.options.fill && self.has_room(now, &own.room, &job);
         let admitted = !self.options.admission || has_room || estimate.is_acceptable();
-        if admitted {
-            self.admission.admitted(now, &job);
-        }
         out.push(Action::Log(Decision::Admit {
             job: job.name.clone(),
             request: job.request.clone(),
@@ -324,7 +321,10 @@
                 if matches!(why, Reason::Overload | Reason::NoRoomInTime) {
                     self.admission.refused(now, &open.job);
                 }
-                let retry_after = self.retry_delays.record_rejection(now, &open.job.name);
+                let own = Totals { demand: self.demand(now), ..Totals::default() };
+                let demand = self.peers.totals(now, self.me.data_centre, own).demand;
+                let ratio = self.admission.refusal_ratio(&open.job, &demand);
+                let retry_after = self.retry_delays.record_rejection(now, &open.job.name, ratio);
                 (Answer::Rejected { retry_after }, "refused")
             }
             Reason::Failures | Reason::ExecutorsCrashed => (Answer::Failed, "failed"),
--- a/components/runs/src/home/retry_delays.rs
+++ b/components/runs/src/home/retry_delays.rs
@@ -1,8 +1,10 @@
 //! Decides when callers of rejected jobs should retry.
 //!
-//! Guards against bursts whose rejected callers retry together. The duration of an overload can't
-//! be known; the best guess is that it lasts as long again as it has lasted so far. Retries are
-//! spread over that time.
+//! Guards against bursts whose rejected callers retry together. If the load stays the same, those
+//! that were rejected so far need as much room again as was given to the jobs of their group in the
+//! meantime, multiplied by the ratio of rejected to admitted ones. Retries are spread over the time
+//! in which that room becomes free, but not over more than the overload has lasted: the best guess
+//! is that it lasts as long again.
 
 use rustc_hash::FxHasher;
 use site::unit::{Span, Time};
@@ -28,11 +30,14 @@
 
 impl RetryDelays {
     /// Records the rejection of a job; returns the delay after which its caller should retry.
-    pub(crate) fn record_rejection(&mut self, now: Time, job: &str) -> Span {
+    /// `ratio` is the number of rejected jobs of its group for each thousand admitted ones.
+    pub(crate) fn record_rejection(&mut self, now: Time, job: &str, ratio: u64) -> Span {
         let current = self.rejections.filter(|(_, latest)| now.since(*latest) <= OVERLOAD_END);
         let since = current.map_or(now, |(first, _)| first);
         self.rejections = Some((since, now));
-        let spread = now.since(since).clamp(MIN_DELAY, MAX_SPREAD);
+        let lasted = now.since(since);
+        let needed = Span(lasted.0.saturating_mul(ratio.min(1_000)) / 1_000);
+        let spread = needed.clamp(MIN_DELAY, MAX_SPREAD);
         MIN_DELAY + Span(hash(job) % spread.0)
     }
 }
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -25,8 +25,6 @@
     /// Each job's own slack and the work served before it; the limits of groups that are rejected
     /// less often than others shrink.
     Forecast,
-    /// The same wait; the limits of the groups that use the most of the capacity are the smallest.
-    Shares,
 }
 
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
