--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -8,6 +8,7 @@
 use runs::{
     Decision,
     action::Outlook,
+    demand::Group,
     executor::{Kind, Response, StartResponse},
     job::Answer,
     message::End,
@@ -36,6 +37,8 @@
     forwards: Counter<u64>,
     returned: Counter<u64>,
     store: Counter<u64>,
+    refused: Counter<u64>,
+    admission_limit: Gauge<f64>,
     response: Histogram<f64>,
     unkept: Histogram<f64>,
     cordons: Gauge<u64>,
@@ -64,6 +67,13 @@
             forwards: counter("task_forwards", "Tasks handed to another keeper for lack of room"),
             returned: counter("tasks_returned", "Tasks that keepers returned unstarted"),
             store: counter("store_calls", "Calls to the platform's store, by outcome"),
+            refused: counter("jobs_refused", "Jobs refused, by task length and number of tasks"),
+            admission_limit: meter
+                .f64_gauge("admission_limit_seconds")
+                .with_description(
+                    "Longest expected wait at which the latest job of a group was admitted",
+                )
+                .build(),
             response: meter
                 .f64_histogram("job_response_seconds")
                 .with_description("Time from a job's arrival to its answer")
@@ -123,6 +133,12 @@
             Decision::Keep { unkept: Some(unkept), .. } => {
                 self.unkept.record(unkept.0 as f64 / 1e6, &[]);
             }
+            Decision::Admit { limit, group, .. } => {
+                self.admission_limit.record(limit.0 as f64 / 1e6, &labels(*group));
+            }
+            Decision::Answer { answer: "refused", group, .. } => {
+                self.refused.add(1, &labels(*group));
+            }
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
                 self.cordons_since.record(unix_ms() as f64 / 1e3, &[]);
@@ -170,6 +186,11 @@
     KeyValue::new("kind", kind.map_or_else(|| "unknown".into(), Kind::to_string))
 }
 
+fn labels(group: Group) -> [KeyValue; 2] {
+    let Group { length, width } = group;
+    [KeyValue::new("length", length.as_str()), KeyValue::new("width", width.as_str())]
+}
+
 fn name<T>(reply: &Response<T>) -> &'static str {
     match reply {
         Response::Done(_) => "done",
--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -441,6 +441,8 @@
 
     fn report(&self, now: Time) -> Report {
         let load = self.load(now);
+        let demand = self.jobs.demand(now);
+        let data_centre_demand = self.jobs.peers.demand(now, self.me.data_centre, demand);
         Report {
             sent: now,
             room: self.keeper.room(now),
@@ -456,6 +458,8 @@
             kinds: Vec::new(),
             lost: self.reported_losses(),
             highest_token: self.keeper.highest_token(),
+            demand: Box::new(demand),
+            data_centre_demand: Box::new(data_centre_demand),
         }
     }
 
--- a/components/runs/src/lib.rs
+++ b/components/runs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod clock;
 pub mod cordon;
 mod deadline;
+pub mod demand;
 pub mod entry;
 pub mod event;
 pub mod executor;
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     Cordon,
+    demand::Demand,
     executor::Incarnation,
     job::{Run, Stretch, Task},
     load::{Load, Summary},
@@ -190,6 +191,11 @@
     pub lost: Vec<Home>,
     /// The highest fencing token that it uses.
     pub highest_token: u64,
+    /// What callers ask the sender for, and how urgent its pending work is. Boxed to keep messages
+    /// small in memory.
+    pub demand: Box<Demand>,
+    /// The sum of the demands of the entries that `data_centre_load` sums.
+    pub data_centre_demand: Box<Demand>,
 }
 
 impl Report {
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -213,6 +213,7 @@
             Fault::CutLink { entry, peer, .. } => (*entry).max(*peer) < entries,
             Fault::Dark { executor, .. }
             | Fault::Crash { executor }
+            | Fault::Down { executor, .. }
             | Fault::Fails { executor, .. }
             | Fault::Slow { executor, .. }
             | Fault::Leave { executor } => *executor < executors,
