Long tasks need a margin on slow executors

A factor that is fitted to estimates that are off comes out too small, and the fixed part too large, so that long tasks were expected in time on executors that they are late on. The margin grows with the length relative to the fixed part and replaces one that was equal for all tasks.

--- a/components/runs/src/deadline.rs
+++ b/components/runs/src/deadline.rs
@@ -7,9 +7,13 @@
 use crate::{job::Stretch, speed::Factor};
 use site::unit::Span;
 
-/// The time allowed for a run, in percent of the expected one. Speeds are fitted to estimates that
-/// are off by up to 40%, which makes the factors too small by about a seventh.
-const MARGIN_PERCENT: i64 = 115;
+/// Time allowed for the part of a run that depends on its length, in percent of the expected one, if
+/// the task is long. Estimates are off by up to 40%, and a factor fitted to them is often too small.
+const LONG_MARGIN_PERCENT: i64 = 125;
+
+/// Multiple of the fixed part of a run time that counts as long. The fit splits the run time of
+/// shorter tasks wrongly rather than misjudging it: what a factor lacks, the fixed part has.
+const LONG_MULTIPLE: i64 = 10;
 
 /// A task's deadline, for a start at one moment.
 #[derive(Clone, Copy, Debug)]
@@ -26,10 +30,10 @@
 }
 
 impl Deadline {
-    /// The slowest speed at which the task is in time, but never one that excludes executors of the
-    /// fastest class: with the lengths that `caution_percent`
+    /// The slowest speed at which the task is in time: with the lengths that `caution_percent`
     /// allows for if an executor of speed `fastest` is fast enough for all of them, otherwise with
-    /// the estimated one. `None` if it is late even on that executor.
+    /// the estimated one. At least the speed of executors that are about as fast as `fastest`.
+    /// `None` if the task is late even on that executor.
     pub(crate) fn slowest(&self, fastest: Factor, caution_percent: u64) -> Option<Factor> {
         let is_enough = |slowest: &Factor| *slowest >= fastest;
         let cautious = Some(self.slowest_within(caution_percent)).filter(is_enough);
@@ -47,8 +51,16 @@
             let length = length.max(1) as i64;
             let extra = i64::from(self.stretch.0) * (length - self.estimate.0 as i64) / 100;
             let left = self.left + extra - self.fixed.0 as i64;
-            (left * 10_000 / (length * MARGIN_PERCENT)).clamp(0, i64::from(u16::MAX)) as u16
+            (left * 10_000 / (length * self.margin_percent())).clamp(0, i64::from(u16::MAX)) as u16
         };
         Factor(lengths.map(slowest).into_iter().min().unwrap_or_default())
     }
+
+    /// Time allowed for the part of a run that depends on its length, in percent of the expected
+    /// one.
+    fn margin_percent(&self) -> i64 {
+        let (estimate, fixed) = (self.estimate.0 as i64, self.fixed.0 as i64);
+        let long = (LONG_MULTIPLE * fixed + estimate).max(1);
+        100 + (LONG_MARGIN_PERCENT - 100) * estimate / long
+    }
 }
