--- a/components/runs/src/home/admission/forecast.rs
+++ b/components/runs/src/home/admission/forecast.rs
@@ -44,8 +44,8 @@
     ratio(&demand.lengths[group.length as usize]).max(ratio(&demand.widths[group.width as usize]))
 }
 
-/// By how many thousandths jobs of a group are rejected less often than those of the length or of
-/// the width with the highest rejection rate.
+/// By how many thousandths jobs of a group are rejected less often than those of the class with the
+/// highest rejection rate.
 fn advantage(group: Group, demand: &Demand) -> u64 {
     let all: Count = demand.lengths.into_iter().sum();
     let mean = thousandths(u64::from(all.refused), u64::from(all.asked));
@@ -53,12 +53,10 @@
         let refused = u64::from(count.refused) * 1_000 + PRIOR_JOBS * mean;
         refused / (u64::from(count.asked) + PRIOR_JOBS)
     };
-    let among = |classes: &[Count], class: usize| {
-        let most = classes.iter().map(rate).max().unwrap_or_default();
-        most - rate(&classes[class])
-    };
-    let by_length = among(&demand.lengths, group.length as usize);
-    by_length.max(among(&demand.widths, group.width as usize))
+    let own = rate(&demand.lengths[group.length as usize])
+        .max(rate(&demand.widths[group.width as usize]));
+    let most = demand.lengths.iter().chain(&demand.widths).map(rate).max().unwrap_or_default();
+    most.saturating_sub(own)
 }
 
 fn thousandths(part: u64, whole: u64) -> u64 {
