--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 /// A task that has been at its keeper for this long is running: one that can't be started is handed
-/// back after 10 ms, or 20 ms where it may be forwarded. Only one that was forwarded twice may take
+/// back after 10 ms, or 15 ms where it may be forwarded. Only one that was forwarded twice may take
 /// longer.
 const ASSUMED_RUNNING_AFTER: Span = Span::from_millis(50);
 
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -253,7 +253,7 @@
             unsure_wait: Span::from_millis(800),
             stale_after: Span::from_millis(300),
             forward: true,
-            forward_hold: Span::from_millis(20),
+            forward_hold: Span::from_millis(15),
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
         }
