Transferred executors don't count as without a keeper

`unkept` attributed an executor to a lost entry by the order of keepers alone. A transfer now clears it.

--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -58,6 +58,8 @@
         out: &mut Vec<Action>,
     ) -> Vec<Moved> {
         let Some(lease) = self.leases.get_mut(&transferred.executor) else { return Vec::new() };
+        // It had a keeper: another entry than the lost one.
+        lease.former = None;
         match lease.phase {
             Phase::Claiming { .. } | Phase::Polling => {
                 lease.token = lease.token.max(view.token_above(transferred.token));
--- a/components/runs/tests/standby.rs
+++ b/components/runs/tests/standby.rs
@@ -13,7 +13,7 @@
     Action, Decision, Entry, Event, Executor, Message, Options,
     action::KeepChange,
     executor::{Listing, Response},
-    message::Report,
+    message::{Report, Transfer},
 };
 use site::{
     id::{EndpointId, Home, Incarnation, WaiterId},
@@ -37,6 +37,8 @@
     peers: BTreeMap<Home, Vec<Home>>,
     /// Whether executors reject this entry's tokens.
     fenced: bool,
+    /// Whether the third entry has all executors that this one claims.
+    transfers: bool,
     /// The token of the latest poll of each executor.
     tokens: BTreeMap<EndpointId, u64>,
     /// Responses that arrive with the next tick.
@@ -53,6 +55,7 @@
             now,
             peers: BTreeMap::new(),
             fenced: false,
+            transfers: false,
             tokens: BTreeMap::new(),
             responses: Vec::new(),
             unkept: Vec::new(),
@@ -88,6 +91,22 @@
                 self.responses.push(Event::Polled { executor, number, reply });
                 None
             }
+            Action::Send { to, message: Message::Claim(executors) }
+                if self.transfers && to == peer(3) =>
+            {
+                let transfers = executors.into_iter().map(|executor| Event::Message {
+                    from: to,
+                    message: Message::Transfer(Transfer {
+                        executor,
+                        incarnation: None,
+                        token: FORMER_TOKEN,
+                        acknowledged: 0,
+                        runs: Vec::new(),
+                    }),
+                });
+                self.responses.extend(transfers);
+                None
+            }
             Action::Send { to, message: Message::Claim(executors) } => {
                 let message = Message::Disclaim(executors);
                 self.peers.contains_key(&to).then_some(Event::Message { from: to, message })
@@ -166,6 +185,19 @@
     assert!(scene.unkept.iter().all(|span| *span < Span::from_millis(1_200)), "{:?}", scene.unkept);
 }
 
+/// The lost entry comes before this one in the order of an executor, but another entry has kept it
+/// all the time, for example since that one drains.
+#[test]
+fn transferred_executors_do_not_count_as_without_a_keeper() {
+    let mut scene = Scene::new(Options::default());
+    let before = scene.kept();
+    scene.transfers = true;
+    scene.lose(2);
+    scene.wait(500);
+    assert!(scene.kept() > before);
+    assert_eq!(scene.unkept, []);
+}
+
 /// The switch leaves everything to the registration, as before.
 #[test]
 fn without_standby_executors_wait_until_the_registration_lapses() {
