Forwarded runs whose executors change their keeper are lost no more, and start once

Found in review. A keeper that forwarded a task kept its note when the run came back to it with its executor; the loss of the keeper in between then made the home start the task again beside the run, 1,250 ms later. And a run that its home had not confirmed was handed over, so that Moved could overtake Taken. The note goes when the run comes back; an unconfirmed run is given up at the transfer.

--- a/components/runs/src/entry.rs
+++ b/components/runs/src/entry.rs
@@ -187,7 +187,7 @@
             }
         }
         for peer in unresponsive {
-            self.keeper.home_lost(now, peer, out);
+            self.keeper.home_silent(now, peer, out);
         }
     }
 
@@ -239,16 +239,18 @@
 
     /// Hands tasks that find no room here to keepers near this entry that have room.
     fn forward(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.options.forward || !self.keeper.has_queued() {
+            return;
+        }
         let Self { me, options, jobs, keeper, view, .. } = self;
         let (own, fixed) = (keeper.room(now), keeper.fixed_run_time());
-        let fastest = jobs.fastest(now, &own);
         let mut near = None;
         let choose = |queued: &Queued| {
             let home = queued.task.job.home;
             if home == *me {
                 return None;
             }
-            let near = near.get_or_insert_with(|| near_keepers(options, &jobs.peers, view));
+            let near = near.get_or_insert_with(|| forward_targets(options, &jobs.peers, view));
             let is_eligible = |keeper: Home| {
                 keeper != home
                     && near.contains(&keeper)
@@ -256,7 +258,7 @@
                     && view.is_connection_likely(home, keeper)
             };
             let cores = queued.needs.cores.0;
-            let slowest = fastest.and_then(|fastest| {
+            let slowest = jobs.fastest(now, &own, cores).and_then(|fastest| {
                 queued.deadline(now, fixed).slowest(fastest, options.caution_percent)
             });
             let chosen = jobs.peers.most_room(now, cores, slowest, is_eligible)?;
@@ -354,7 +356,7 @@
         }
         if has_new {
             let report = self.report(now);
-            let near: Vec<_> = self.view.near_keepers().collect();
+            let near: Vec<_> = self.view.local_keepers().collect();
             out.extend(near.into_iter().map(|to| self.report_to(to, &report)));
         }
         let changed = self.view.confirm_losses();
@@ -486,7 +488,7 @@
             pending: self.jobs.peers.with_pending().collect(),
             keepers: self.jobs.keepers(),
             near_keepers: match supply {
-                Supply::Scarce => near_keepers(&self.options, &self.jobs.peers, &self.view),
+                Supply::Scarce => forward_targets(&self.options, &self.jobs.peers, &self.view),
                 Supply::Ample => Vec::new(),
             },
         };
@@ -531,7 +533,7 @@
 }
 
 /// The keepers nearest to this entry that it forwards tasks to.
-fn near_keepers(options: &Options, peers: &Peers, view: &View) -> Vec<Home> {
+fn forward_targets(options: &Options, peers: &Peers, view: &View) -> Vec<Home> {
     if !options.forward {
         return Vec::new();
     }
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -62,12 +62,15 @@
             .map(|open| open.rank(now, &self.options))
             .collect();
         order.sort_unstable();
+        if order.is_empty() {
+            return Vec::new();
+        }
         let mut placements = Vec::new();
-        let fastest = self.fastest(now, &own);
         for (.., key) in order {
             let Some(open) = self.open.get(&key.number) else { continue };
             let cores = open.job.needs.cores.0;
             let tasks = open.pending(now);
+            let fastest = self.fastest(now, &own, cores);
             let slowest =
                 fastest.and_then(|fastest| open.slowest(now, fastest, fixed, &self.options));
             let candidates = self.candidates(now, &own, key, cores, slowest, tasks.len());
@@ -89,11 +92,11 @@
         placements
     }
 
-    /// The speed of the fastest executors of all keepers, this entry included; `None` if executors
-    /// are not known to differ.
-    pub(crate) fn fastest(&self, now: Time, own: &Room) -> Option<Factor> {
+    /// The speed of the fastest executors of all keepers, this entry included, that are large enough
+    /// for a task which needs `cores`; `None` if executors are not known to differ.
+    pub(crate) fn fastest(&self, now: Time, own: &Room, cores: u32) -> Option<Factor> {
         let rooms = self.peers.rooms(now).chain([own]);
-        let mut fastest: Vec<_> = rooms.filter_map(Room::fastest).collect();
+        let mut fastest: Vec<_> = rooms.filter_map(|room| room.fastest(cores)).collect();
         fastest.sort_unstable();
         let first = u32::from(fastest.first()?.0);
         let alike = |factor: &Factor| u32::from(factor.0) * 100 < first * SAME_PERCENT;
--- a/components/runs/src/keeper/forward.rs
+++ b/components/runs/src/keeper/forward.rs
@@ -14,9 +14,9 @@
     job::Task,
     message::{End, Ended, Forward, Moved},
 };
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
-    id::Home,
+    id::{EndpointId, Home},
     unit::{Span, Time},
 };
 use std::collections::hash_map::Entry;
@@ -88,6 +88,14 @@
         out.extend(keepers.into_iter().map(send));
     }
 
+    /// Forgets where a run went that this keeper has again: the loss of the keeper that it went to
+    /// is no longer the loss of the run.
+    pub(super) fn forget_note(&mut self, task: Task, run: u32) {
+        if self.notes.get(&task).is_some_and(|note| note.run <= run) {
+            self.notes.remove(&task);
+        }
+    }
+
     /// Forgets what is known of earlier runs of a task that is placed here.
     pub(super) fn forget(&mut self, task: Task) {
         self.notes.remove(&task);
@@ -213,6 +221,33 @@
         }
     }
 
+    /// Gives up the runs on an executor whose homes have not confirmed this keeper: the next keeper's
+    /// `Moved` could overtake this one's `Taken`. That keeper stops them, since it does not know
+    /// their tasks.
+    pub(super) fn drop_unconfirmed(&mut self, id: EndpointId, out: &mut Vec<Action>) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        let unconfirmed = &mut self.forwarding.unconfirmed;
+        let runs: Vec<_> = lease
+            .runs
+            .iter()
+            .filter_map(|(run, live)| Some((run.clone(), live.task?)))
+            .filter(|(run, task)| unconfirmed.get(task).is_some_and(|u| u.run == run.number))
+            .collect();
+        for (run, task) in runs {
+            lease.remove(&run);
+            let Some(Unconfirmed { from, .. }) = unconfirmed.remove(&task) else { continue };
+            let ended = Ended { task, run: run.number, executor: Some(id), end: End::Unsure };
+            // The home hears it from the first keeper if `Taken` never arrives.
+            self.ends.push(ended);
+            out.push(Action::Send { to: from, message: Message::Returned(vec![ended]) });
+        }
+    }
+
+    /// The tasks whose homes have yet to confirm this keeper.
+    pub(super) fn unconfirmed_tasks(&self) -> FxHashSet<Task> {
+        self.forwarding.unconfirmed.keys().copied().collect()
+    }
+
     /// Records ends for the homes of forwarded tasks that their new keeper does not keep.
     pub(crate) fn returned(&mut self, from: Home, ended: &[Ended]) {
         for ended in ended {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use queue::Queued;
 pub(crate) use room::Offer;
 
-use choice::Demand;
+use choice::FastDemand;
 use forward::Forwarding;
 use incarnation::Age;
 use lease::{Lease, OutstandingPoll, Phase, State, TrackedRun};
@@ -61,7 +61,10 @@
     health: Monitor,
     pub(crate) speeds: Speeds,
     /// The demand for fast executors.
-    demand: Demand,
+    demand: FastDemand,
+    /// Whether the kept executors serve several services. Room is not reported by service, so that
+    /// homes could wait for fast executors of another one.
+    is_shared: bool,
     /// Moving average of the resources that a task needs.
     usual_needs: Resources,
     /// Moving average of the time from a start to its response.
@@ -86,7 +89,8 @@
             forwarding: Forwarding::default(),
             health: Monitor::new(),
             speeds: Speeds::new(&options),
-            demand: Demand::default(),
+            demand: FastDemand::default(),
+            is_shared: false,
             usual_needs: Resources::SLOT,
             usual_start_time: Span::ZERO,
             usual_run_time: Span::ZERO,
@@ -107,6 +111,11 @@
             && self.leases.values().all(|lease| lease.runs.is_empty())
     }
 
+    /// Whether tasks are queued.
+    pub(crate) fn has_queued(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
     /// Queues tasks, or hands them back if they were in transit for too long.
     pub(crate) fn place(&mut self, now: Time, placement: Placement, transit: Span) {
         let stale = transit > self.options.stale_after;
@@ -151,6 +160,7 @@
     ) {
         let span = self.options.lease;
         self.known = executors.into_iter().map(|executor| (executor.id, executor)).collect();
+        self.retain_kinds();
         for lease in self.leases.values_mut() {
             let Some(executor) = self.known.get(&lease.executor.id) else {
                 lease.executor.leaving = true;
@@ -170,6 +180,14 @@
         }
     }
 
+    /// Drops the speeds of kinds that no executor has, unless no executor is known.
+    fn retain_kinds(&mut self) {
+        if !self.known.is_empty() {
+            let kinds = self.known.values().filter_map(|executor| executor.kind.clone());
+            self.speeds.retain_kinds(kinds.collect());
+        }
+    }
+
     /// Applies the services that jobs are sent to.
     pub(crate) fn set_services(&mut self, services: Vec<Service>) {
         let services = services.into_iter().map(|service| (service.id, service)).collect();
@@ -250,6 +268,12 @@
         for id in over {
             self.forget(id, KeepChange::Gone, out);
         }
+        self.is_shared = self.serves_several();
+    }
+
+    fn serves_several(&self) -> bool {
+        let mut services = self.leases.values().map(|lease| lease.executor.service);
+        services.next().is_some_and(|first| services.any(|service| service != first))
     }
 
     fn forget(&mut self, id: EndpointId, change: KeepChange, out: &mut Vec<Action>) {
--- a/components/runs/src/keeper/standby.rs
+++ b/components/runs/src/keeper/standby.rs
@@ -1,7 +1,7 @@
 //! Executors that are taken over from lost entries.
 
 use super::{Keeper, Lease};
-use crate::view::View;
+use crate::view::{Former, View};
 
 impl Keeper {
     /// The highest fencing token that is in use. Whoever takes this entry's executors over needs a
@@ -17,6 +17,7 @@
     /// keeper's token rests on, so that only its reports tell which tokens are higher.
     pub(super) fn next_token(&self, view: &View) -> u64 {
         let token = view.token(self.tries);
-        self.former.map_or(token, |former| token.max(view.token_above(former.token)))
+        let above = |former: Former| view.token_above_by(former.token, self.tries);
+        self.former.map_or(token, |former| token.max(above(former)))
     }
 }
--- a/components/runs/src/keeper/stop.rs
+++ b/components/runs/src/keeper/stop.rs
@@ -27,6 +27,14 @@
         self.abandon(now, StopCause::HomeLost, |task| task.job.home == home, out);
     }
 
+    /// Stops what runs for a home that has sent nothing for too long. Tasks that it has not confirmed
+    /// have a limit of their own: a home reports rarely to an entry that it does not know as keeper.
+    pub(crate) fn home_silent(&mut self, now: Time, home: Home, out: &mut Vec<Action>) {
+        let unconfirmed = self.unconfirmed_tasks();
+        let is_abandoned = |task: Task| task.job.home == home && !unconfirmed.contains(&task);
+        self.abandon(now, StopCause::HomeLost, is_abandoned, out);
+    }
+
     pub(super) fn abandon(
         &mut self,
         now: Time,
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -32,6 +32,7 @@
             executors.iter().partition(|id| self.leases.get(id).is_some_and(Lease::is_in_use));
         out.push(Action::Send { to, message: Message::Disclaim(others) });
         for id in &kept {
+            self.drop_unconfirmed(*id, out);
             let Some(lease) = self.leases.get(id) else { continue };
             let message = Message::Transfer(Transfer {
                 executor: *id,
@@ -77,6 +78,7 @@
             let live = lease.inherited_run(now, &inherited);
             self.health.try_acquire(now, transferred.executor);
             moved.push(Moved { task: inherited.task, run: inherited.run.number });
+            self.forwarding.forget_note(inherited.task, inherited.run.number);
             lease.insert(inherited.run, live);
         }
         if matches!(lease.phase, Phase::Claiming { .. }) {
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -150,8 +150,8 @@
     ExecutorLost,
     /// It never started.
     NotRun,
-    /// Another keeper has taken over the executor and is about to stop the run,
-    /// which may go on until then.
+    /// It may be running until its lease ends: another keeper has taken over the executor and is about
+    /// to stop it, or the keeper that it was forwarded to was lost or had to give it up.
     Unsure,
     /// Its executor's incarnation ended while it ran.
     ExecutorCrashed,
@@ -207,6 +207,7 @@
             || self.cordoned != old.cordoned
             || self.configuration != old.configuration
             || !self.cordon.matches(&old.cordon)
+            || self.room.loses_class(&old.room)
     }
 
     /// Whether work is pending or queued there now and was not in an older report.
@@ -237,6 +238,8 @@
     pub factor: Factor,
     /// How many of them have free cores.
     pub executors: u16,
+    /// Capacity of the largest of them, in whole cores.
+    pub largest: u16,
 }
 
 impl Room {
@@ -260,10 +263,12 @@
         fast.map(|(_, free)| free / cores.max(1)).sum()
     }
 
-    /// The speed of the fastest executors, full ones included; `None` if the executors are not known
-    /// to differ.
-    pub fn fastest(&self) -> Option<Factor> {
-        self.speeds.first().map(|class| class.factor)
+    /// The speed of the fastest executors that are large enough for a task which needs `cores`, full
+    /// ones included; `None` if the executors are not known to differ.
+    pub fn fastest(&self, cores: u32) -> Option<Factor> {
+        let is_large_enough = |class: &&SpeedClass| u32::from(class.largest) * 1_000 >= cores;
+        let is_valid = |class: &&SpeedClass| class.factor >= Factor::MIN;
+        self.speeds.iter().filter(is_valid).find(is_large_enough).map(|class| class.factor)
     }
 
     /// Subtracts tasks that need `cores` and were sent, best fit first: each from the fullest
@@ -312,6 +317,13 @@
             .take(self.cores.len())
     }
 
+    /// Whether the fastest executors of an older report are gone: tasks wait for them elsewhere.
+    fn loses_class(&self, old: &Self) -> bool {
+        let fastest = |room: &Self| room.speeds.first().map(|class| class.factor);
+        let limit = fastest(old).map(Factor::class_limit);
+        limit.is_some_and(|limit| fastest(self).is_none_or(|fastest| fastest > limit))
+    }
+
     /// Whether nothing may be sent.
     pub fn is_empty(&self) -> bool {
         self.cores.is_empty() && self.ahead == 0
--- a/components/runs/src/view/lost.rs
+++ b/components/runs/src/view/lost.rs
@@ -73,10 +73,14 @@
 
     /// Records the loss of a connection to an entry that was last heard from at `heard`.
     pub(super) fn disconnect(&mut self, peer: Home, heard: Time) {
-        self.reported.remove(&peer);
         self.silent.insert(peer, heard);
     }
 
+    /// Drops what an entry reported, once it is no longer connected.
+    pub(super) fn forget_reports(&mut self, peer: Home) {
+        self.reported.remove(&peer);
+    }
+
     /// Records a report of a connected entry.
     pub(super) fn record_report(&mut self, from: Home, lost: Vec<Home>, token: u64) {
         match lost.is_empty() {
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -146,6 +146,7 @@
     /// Records the loss of the connection to an entry that was last heard from at `heard`.
     pub(crate) fn disconnect(&mut self, peer: Home, heard: Time) -> bool {
         self.connected.remove(&peer);
+        self.lost.forget_reports(peer);
         let is_replaced = self.connected.iter().any(|home| home.entry == peer.entry);
         if peer.data_centre == self.me.data_centre && !is_replaced {
             self.lost.disconnect(peer, heard);
@@ -253,7 +254,7 @@
     }
 
     /// The connected keepers of this data centre.
-    pub(crate) fn near_keepers(&self) -> impl Iterator<Item = Home> {
+    pub(crate) fn local_keepers(&self) -> impl Iterator<Item = Home> {
         let has_share = |home: &Home| {
             let kept = self.shares.local.iter().find(|(keeper, _)| keeper.entry == home.entry);
             kept.is_some_and(|(_, weight)| weight.0 > 0)
@@ -314,6 +315,12 @@
             | self.me.entry.0 & ENTRY_MASK
     }
 
+    /// A fencing token of this entry that is higher than `token`, and the higher the more attempts to
+    /// use one were fenced.
+    pub(crate) fn token_above_by(&self, token: u64, tries: u8) -> u64 {
+        self.token_above(token.saturating_add(u64::from(tries) << TRY_SHIFT))
+    }
+
     /// A fencing token of this entry that is higher than `token`.
     pub(crate) fn token_above(&self, token: u64) -> u64 {
         match self.token(0) {
