Tasks wait only for fast executors that can run them

Found in review. Homes waited for executors that were too small, of another service, or faster than their kind by themselves, and kinds that no executor has any more kept a site uneven. Reports of room name the largest executor of a class; keepers of several services do not choose by speed; a single executor counts as no faster than its kind; kinds without executors are dropped; the limit of tasks per executor decides which executors count; queued tasks reserve room of their own speed.

--- a/components/runs/src/deadline.rs
+++ b/components/runs/src/deadline.rs
@@ -9,11 +9,11 @@
 
 /// Time allowed for the part of a run that depends on its length, in percent of the expected one, if
 /// the task is long. Estimates are off by up to 40%, and a factor fitted to them is often too small.
-const LONG_MARGIN_PERCENT: i64 = 125;
+const LONG_MARGIN_PERCENT: i128 = 125;
 
 /// Multiple of the fixed part of a run time that counts as long. The fit splits the run time of
 /// shorter tasks wrongly rather than misjudging it: what a factor lacks, the fixed part has.
-const LONG_MULTIPLE: i64 = 10;
+const LONG_MULTIPLE: i128 = 10;
 
 /// A task's deadline, for a start at one moment.
 #[derive(Clone, Copy, Debug)]
@@ -46,20 +46,23 @@
     /// the length, so both bounds decide.
     fn slowest_within(&self, percent: u64) -> Factor {
         let percent = percent.max(1);
-        let lengths = [self.estimate.0 * 100 / percent, self.estimate.0 * percent / 100];
-        let slowest = |length: u64| {
-            let length = length.max(1) as i64;
-            let extra = i64::from(self.stretch.0) * (length - self.estimate.0 as i64) / 100;
-            let left = self.left + extra - self.fixed.0 as i64;
-            (left * 10_000 / (length * self.margin_percent())).clamp(0, i64::from(u16::MAX)) as u16
+        // Estimates and deadlines come from callers and other entries: their products may not fit
+        // into 64 bits.
+        let (estimate, percent) = (i128::from(self.estimate.0), i128::from(percent));
+        let slowest = |length: i128| {
+            let length = length.max(1);
+            let extra = i128::from(self.stretch.0) * (length - estimate) / 100;
+            let left = i128::from(self.left) + extra - i128::from(self.fixed.0);
+            (left * 10_000 / (length * self.margin_percent())).clamp(0, i128::from(u16::MAX)) as u16
         };
+        let lengths = [estimate * 100 / percent, estimate * percent / 100];
         Factor(lengths.map(slowest).into_iter().min().unwrap_or_default())
     }
 
     /// Time allowed for the part of a run that depends on its length, in percent of the expected
     /// one.
-    fn margin_percent(&self) -> i64 {
-        let (estimate, fixed) = (self.estimate.0 as i64, self.fixed.0 as i64);
+    fn margin_percent(&self) -> i128 {
+        let (estimate, fixed) = (i128::from(self.estimate.0), i128::from(self.fixed.0));
         let long = (LONG_MULTIPLE * fixed + estimate).max(1);
         100 + (LONG_MARGIN_PERCENT - 100) * estimate / long
     }
--- a/components/runs/src/keeper/choice.rs
+++ b/components/runs/src/keeper/choice.rs
@@ -32,13 +32,13 @@
 
 /// Mean of the cores that tasks occupy which are in time on fast executors only.
 #[derive(Debug, Default)]
-pub(super) struct Demand {
+pub(super) struct FastDemand {
     /// Thousandths of a core.
     mean: f64,
     at: Time,
 }
 
-impl Demand {
+impl FastDemand {
     /// Records that such a task occupies `cores` for `span`.
     pub(super) fn record(&mut self, now: Time, cores: u32, span: Span) {
         let part = span.0 as f64 / DEMAND_WINDOW.0 as f64;
@@ -65,7 +65,7 @@
 
     /// Whether the choice depends on the speed of kinds.
     pub(super) fn considers_speed(&self) -> bool {
-        self.options.choice != Choice::Fastest && self.speeds.is_uneven()
+        self.options.choice != Choice::Fastest && self.speeds.is_uneven() && !self.is_shared
     }
 
     /// The part of a run time that does not depend on the task.
@@ -172,15 +172,15 @@
             && self.allows_starts(&lease.executor)
             && !queued.avoid.contains(&lease.executor.id)
             && queued.label.as_ref().is_none_or(|label| lease.executor.labels.contains(label))
+            && queued
+                .per_executor
+                .is_none_or(|most| lease.count(queued.task.job) < usize::from(most))
     }
 }
 
 impl Lease {
     fn has_room_for(&self, queued: &Queued) -> bool {
         self.free().fits(&queued.needs)
-            && queued
-                .per_executor
-                .is_none_or(|most| self.count(queued.task.job) < usize::from(most))
     }
 
     /// Sort key of executors of one speed: the one with the least capacity left comes first.
--- a/components/runs/src/keeper/queue.rs
+++ b/components/runs/src/keeper/queue.rs
@@ -141,6 +141,10 @@
         self.tasks.is_empty()
     }
 
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Queued> {
+        self.tasks.iter()
+    }
+
     /// Thousandths of a core that its tasks need in total.
     pub(crate) fn cores(&self) -> u64 {
         self.tasks.iter().map(|queued| u64::from(queued.needs.cores.0)).sum()
--- a/components/runs/src/keeper/room.rs
+++ b/components/runs/src/keeper/room.rs
@@ -7,7 +7,6 @@
     load::{self, Load},
     message::{Room, SpeedClass},
     options::Supply,
-    speed::Factor,
 };
 use site::unit::{Resources, Span, Time};
 
@@ -35,7 +34,13 @@
         let (usual, queued) = (self.usual_needs.cores.0, self.queue.len() as u32);
         if self.considers_speed() {
             let mut room = self.room_by_speed(&usable);
-            room.reserve_within(usual, queued, Factor(u16::MAX));
+            let (fixed, caution) = (self.speeds.fixed(), self.options.caution_percent);
+            for queued in self.queue.iter() {
+                let fastest = room.fastest(queued.needs.cores.0);
+                let slowest = fastest
+                    .and_then(|fastest| queued.deadline(now, fixed).slowest(fastest, caution));
+                room.reserve_for(usual, 1, slowest);
+            }
             return room;
         }
         let free = usable.iter().map(|lease| lease.free().cores.0);
@@ -57,7 +62,10 @@
         free.sort_unstable();
         let speeds = classes.factors().enumerate().map(|(index, factor)| {
             let executors = free.iter().filter(|(class, _)| *class == index).count();
-            SpeedClass { factor, executors: executors as u16 }
+            let of_class = usable.iter().filter(|lease| classes.index(lease.speed) == index);
+            let largest = of_class.map(|lease| lease.executor.capacity.cores.0).max();
+            let largest = (largest.unwrap_or_default() / 1_000).try_into().unwrap_or(u16::MAX);
+            SpeedClass { factor, executors: executors as u16, largest }
         });
         let speeds = speeds.collect();
         let cores = free.into_iter().map(|(_, free)| free).collect();
--- a/components/runs/src/speed/fit.rs
+++ b/components/runs/src/speed/fit.rs
@@ -3,7 +3,7 @@
 
 use crate::executor::Kind;
 use site::unit::Span;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Number of latest runs of a kind that the fit uses. With estimates that are off by up to 40% its
 /// factor is then accurate to 3%, and a change takes effect after some hundred runs.
@@ -122,6 +122,11 @@
         self.kinds.get_mut(kind).unwrap_or(&mut self.unknown)
     }
 
+    /// Drops the runs on executors of other kinds.
+    pub(super) fn retain_kinds(&mut self, in_use: &BTreeSet<Kind>) {
+        self.kinds.retain(|kind, _| in_use.contains(kind));
+    }
+
     /// The part of a run time that does not depend on the estimate.
     pub(super) fn fixed(&self) -> Span {
         Span((self.fixed_ms * 1e3) as u64)
--- a/components/runs/src/speed/mod.rs
+++ b/components/runs/src/speed/mod.rs
@@ -20,7 +20,7 @@
     id::{EndpointId, Home},
     unit::{Span, Time},
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Interval at which the model is fitted to new runs.
 const FIT_INTERVAL: Span = Span::from_millis(200);
@@ -80,6 +80,9 @@
     /// A task takes as long as its caller estimates.
     pub const ONE: Self = Self(100);
 
+    /// The smallest factor that is measured. A smaller one in a report is wrong.
+    pub const MIN: Self = Self(5);
+
     /// The run time of a task that is estimated at `estimate`.
     pub fn run_time(self, estimate: Span) -> Span {
         Span(estimate.0.saturating_mul(u64::from(self.0)) / 100)
@@ -126,6 +129,8 @@
     spread: f32,
     /// The factors in use, by kind. They stay until they differ clearly from the fitted ones.
     published: BTreeMap<Kind, Published>,
+    /// The kinds of the known executors; `None` where executors are not known.
+    in_use: Option<BTreeSet<Kind>>,
     /// Whether the kinds differ clearly by the latest fit.
     is_uneven: bool,
     /// Counts the changes of what this entry has measured itself.
@@ -185,6 +190,7 @@
             singles: FxHashMap::default(),
             spread: ASSUMED_SPREAD,
             published: BTreeMap::new(),
+            in_use: None,
             is_uneven: false,
             revision: 0,
             sent: FxHashMap::default(),
@@ -219,6 +225,18 @@
         self.spread += (spread - self.spread) / SPREAD_WEIGHT;
     }
 
+    /// Drops the kinds that no known executor has. They would count as uneven for ever.
+    pub fn retain_kinds(&mut self, in_use: BTreeSet<Kind>) {
+        self.published.retain(|kind, _| in_use.contains(kind));
+        self.fit.retain_kinds(&in_use);
+        self.in_use = Some(in_use);
+    }
+
+    /// Whether some executor has this kind, as far as executors are known here.
+    fn is_in_use(&self, kind: &Kind) -> bool {
+        self.in_use.as_ref().is_none_or(|in_use| in_use.contains(kind))
+    }
+
     /// Fits the model to the latest runs and publishes factors that have changed. Returns lines for
     /// the decision log: one for each of them, or for all kinds if the kinds begin or cease to count
     /// as uneven.
@@ -253,6 +271,7 @@
     fn estimates(&self) -> BTreeMap<Kind, Estimate> {
         let measured = self.fit.kinds().map(|(kind, _)| kind);
         let kinds = measured.chain(self.heard.kinds()).chain(self.published.keys());
+        let kinds = kinds.filter(|kind| self.is_in_use(kind));
         kinds.filter_map(|kind| Some((kind.clone(), self.estimate(kind)?))).collect()
     }
 
@@ -328,7 +347,9 @@
         }
         let Some(kind) = self.kind_factor(executor) else { return Factor::ONE };
         let single = self.singles.get(&executor.id).filter(|single| single.is_of(executor));
-        Factor::from_ratio(kind * single.map_or(1.0, Single::ratio))
+        // An executor that is faster than its kind would form a class of its own, which other tasks
+        // wait for.
+        Factor::from_ratio(kind * single.map_or(1.0, Single::ratio).max(1.0))
     }
 
     /// The part of a run time that does not depend on the estimate, as measured at this entry. Zero
