--- a/components/runs/src/home/admission/forecast.rs
+++ b/components/runs/src/home/admission/forecast.rs
@@ -34,6 +34,15 @@
     }
 }
 
+/// Whether the groups of a site have enough jobs in a second for their rejection rates to be compared:
+/// as many as the prior adds to all groups. With fewer, the feedback would hardly act, and the larger
+/// limits would only make jobs late.
+pub(super) fn is_comparable(demand: &Demand) -> bool {
+    let all: Count = demand.lengths.into_iter().sum();
+    let groups = (demand.lengths.len() * demand.widths.len()) as u64;
+    u64::from(all.asked) >= PRIOR_JOBS * groups
+}
+
 /// Rejected jobs of a group for each thousand admitted ones in the last second.
 pub(super) fn refusal_ratio(group: Group, demand: &Demand) -> u64 {
     let ratio = |count: &Count| {
@@ -53,8 +62,13 @@
         let refused = u64::from(count.refused) * 1_000 + PRIOR_JOBS * mean;
         refused / (u64::from(count.asked) + PRIOR_JOBS)
     };
-    let own = rate(&demand.lengths[group.length as usize])
-        .max(rate(&demand.widths[group.width as usize]));
+    // The prior must not hide that a small class is itself rejected.
+    let observed = |count: &Count| thousandths(u64::from(count.refused), u64::from(count.asked));
+    let own = [&demand.lengths[group.length as usize], &demand.widths[group.width as usize]]
+        .into_iter()
+        .map(|count| rate(count).max(observed(count)))
+        .max()
+        .unwrap_or_default();
     let most = demand.lengths.iter().chain(&demand.widths).map(rate).max().unwrap_or_default();
     most.saturating_sub(own)
 }
--- a/components/runs/src/home/admission/mod.rs
+++ b/components/runs/src/home/admission/mod.rs
@@ -18,7 +18,7 @@
 
 /// The ratio of rejected to admitted jobs, in thousandths, from which on retries are spread over
 /// the whole time that the overload has lasted.
-const ALL_REFUSED: u64 = 1_000;
+pub(super) const ALL_REFUSED: u64 = 1_000;
 
 /// What the entries of a site report together.
 #[derive(Clone, Copy, Debug, Default)]
@@ -56,6 +56,7 @@
             // last.
             _ if slack == Span::ZERO => return common,
             Policy::Common => return common,
+            Policy::Forecast if !forecast::is_comparable(demand) => return common,
             Policy::Forecast => forecast::limit(group, slack, common.limit, demand),
         };
         let ahead = load.pending - demand.behind(slack, load);
@@ -68,6 +69,7 @@
     pub(super) fn refusal_ratio(&self, job: &Job, demand: &Demand) -> u64 {
         match self.policy {
             Policy::Common => ALL_REFUSED,
+            Policy::Forecast if !forecast::is_comparable(demand) => ALL_REFUSED,
             Policy::Forecast => forecast::refusal_ratio(Group::of(job), demand),
         }
     }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -339,12 +339,7 @@
         let (answer, name) = match why {
             Reason::AllDone => (Answer::Completed, "completed"),
             _ if open.is_unstarted() => {
-                if matches!(why, Reason::Overload | Reason::NoRoomInTime) {
-                    self.admission.refused(now, &open.job);
-                }
-                let own = Totals { demand: self.demand(now), ..Totals::default() };
-                let demand = self.peers.totals(now, self.me.data_centre, own).demand;
-                let ratio = self.admission.refusal_ratio(&open.job, &demand);
+                let ratio = self.record_refusal(now, &open, why);
                 let retry_after = self.retry_delays.record_rejection(now, &open.job.name, ratio);
                 (Answer::Rejected { retry_after }, "refused")
             }
@@ -368,6 +363,20 @@
         self.cancel_placed(&open, out)
     }
 
+    /// Counts a rejected job among those of its group; returns the rejected jobs of the group for each
+    /// thousand admitted ones. A job that was never placed may need executors that do not exist,
+    /// which says nothing about other groups.
+    fn record_refusal(&mut self, now: Time, open: &OpenJob, why: Reason) -> u64 {
+        let had_room = open.placed_at.is_some();
+        if why != Reason::Overload && !(why == Reason::NoRoomInTime && had_room) {
+            return admission::ALL_REFUSED;
+        }
+        self.admission.refused(now, &open.job);
+        let own = Totals { demand: self.admission.demand(now), ..Totals::default() };
+        let demand = self.peers.totals(now, self.me.data_centre, own).demand;
+        self.admission.refusal_ratio(&open.job, &demand)
+    }
+
     fn cancel_placed(&self, open: &OpenJob, out: &mut Vec<Action>) -> Vec<Task> {
         let mut keepers: FxHashMap<Home, Vec<Task>> = FxHashMap::default();
         for (keeper, task) in open.placed() {
