Peers that acknowledge nothing for 200 ms get no tasks

Cause: a connection is lost 0.8 s after its last packet, and until then homes sent tasks to keepers that were cut off, frozen or dead.

Change: link reports peers from which nothing arrives after a message to them, not even an acknowledgement; their reports of room and load do not count until their next message.

--- a/components/link/src/node/mod.rs
+++ b/components/link/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod dial;
 mod handshake;
+mod response;
 mod runtime;
 mod send_queue;
 mod session;
@@ -179,6 +180,15 @@
         self.inner.table.all().iter().map(|session| session.peer()).collect()
     }
 
+    /// Returns the connected peers that have become unresponsive since the last call: for `limit`
+    /// after a message to them nothing has arrived from them, not even an acknowledgement. Has to be
+    /// called several times within the limit. A message of such a peer shows that it responds again.
+    pub fn unresponsive(&self, limit: Duration) -> Vec<Home> {
+        let sessions = self.inner.table.all();
+        let unresponsive = sessions.iter().filter(|session| session.becomes_unresponsive(limit));
+        unresponsive.map(|session| session.peer()).collect()
+    }
+
     /// Returns the addresses that a connected peer advertises; empty if it is not connected.
     pub fn addresses(&self, peer: Home) -> Vec<SocketAddr> {
         self.inner.table.get(peer).map(|s| s.addresses().to_vec()).unwrap_or_default()
--- a/components/link/src/node/session.rs
+++ b/components/link/src/node/session.rs
@@ -3,11 +3,13 @@
 use super::{
     Incoming, Inner, Payload,
     handshake::{Established, READ_SIZE, read_error, write_error},
+    response::Response,
     send_queue::{Batch, PushError, SendQueue},
     traffic::Datagrams,
 };
 use crate::{Code, Error, Options};
 use futures_lite::future;
+use parking_lot::Mutex;
 use quinn::{Connection, RecvStream, SendStream};
 use serde::Serialize;
 use site::id::Home;
@@ -27,6 +29,7 @@
     since: Instant,
     connection: Connection,
     queue: SendQueue,
+    response: Mutex<Response>,
     /// Closed when the session has ended; carries no messages.
     end: (async_channel::Sender<()>, async_channel::Receiver<()>),
 }
@@ -45,6 +48,7 @@
             since: Instant::now(),
             connection,
             queue: SendQueue::new(options.limit, capacity.max(options.limit.bytes())),
+            response: Mutex::default(),
             end: async_channel::bounded(1),
         }
     }
@@ -83,7 +87,14 @@
                 self.close(Code::Overflow);
                 Error::Overflow(self.peer())
             }
-        })
+        })?;
+        self.response.lock().sent();
+        Ok(())
+    }
+
+    /// Returns whether the peer has become unresponsive. See [`Response::takes_longer_than`].
+    pub(super) fn becomes_unresponsive(&self, limit: Duration) -> bool {
+        self.response.lock().takes_longer_than(limit, &self.connection)
     }
 
     /// Closes the connection at once.
@@ -111,7 +122,7 @@
     inner.counters.connected();
     tracing::info!(%peer, dialled = session.dialled, "connected");
     emit(&inner, Incoming::Up { peer }).await;
-    let reader = read(&inner, peer, recv, decoder);
+    let reader = read(&inner, &session, recv, decoder);
     let writer = write(&inner, &session.queue, send);
     let result = future::or(reader, writer).await;
     tracing::info!(%peer, end = %describe(&result), "disconnected");
@@ -134,10 +145,11 @@
 /// Reads messages. Returns without an error when the peer ends its stream between two frames.
 async fn read<M: Payload>(
     inner: &Inner<M>,
-    from: Home,
+    session: &Session,
     mut recv: RecvStream,
     mut decoder: Decoder,
 ) -> Result<(), Error> {
+    let from = session.peer();
     loop {
         while let Some(frame) = decoder.take()? {
             inner.counters.received();
@@ -148,6 +160,7 @@
             return Ok(());
         };
         inner.counters.read(chunk.bytes.len());
+        session.response.lock().received();
         decoder.feed(&chunk.bytes);
     }
 }
--- a/components/link/tests/failure.rs
+++ b/components/link/tests/failure.rs
@@ -7,7 +7,7 @@
 use link::{Code, Incoming, Options, tls, tls::issue::Authority};
 use quinn::{Connection, Endpoint, EndpointConfig, SmolRuntime};
 use site::id::{EntryId, Home};
-use smol::{block_on, net::UdpSocket};
+use smol::{Timer, block_on, net::UdpSocket};
 use std::{
     net::{self, SocketAddr},
     sync::{
@@ -185,6 +185,47 @@
     });
 }
 
+/// Tasks would be sent to a peer that is cut off until its connection is lost.
+#[test]
+fn a_peer_that_acknowledges_nothing_is_unresponsive_before_its_connection_is_lost() {
+    block_on(async {
+        let authority = authority();
+        let (one, two) = (Peer::new(&authority, 1), Peer::new(&authority, 2));
+        let relay = Relay::new(two.node.address()).await;
+        one.node.connect(two.home.entry, relay.address);
+        assert_eq!(one.up().await, two.home);
+        assert_eq!(two.up().await, one.home);
+        relay.cut.store(true, SeqCst);
+        one.send(&two, 1);
+        let limit = Duration::from_millis(200);
+        while !one.node.unresponsive(limit).contains(&two.home) {
+            assert!(one.node.peers().contains(&two.home), "the connection was lost first");
+            Timer::after(limit / 10).await;
+        }
+        assert!(one.node.unresponsive(limit).is_empty(), "it is reported once");
+    });
+}
+
+/// A peer that only reads acknowledges what it gets, and is no reason to send tasks elsewhere.
+#[test]
+fn a_peer_that_sends_nothing_but_acknowledgements_is_responsive() {
+    block_on(async {
+        let authority = authority();
+        let (one, two) = (Peer::new(&authority, 1), Peer::new(&authority, 2));
+        one.connect(&two);
+        assert_eq!(one.up().await, two.home);
+        assert_eq!(two.up().await, one.home);
+        // Long enough that a message which arrives on a busy machine is acknowledged in time.
+        let limit = Duration::from_secs(2);
+        for number in 0..8 {
+            one.send(&two, number);
+            assert_eq!(two.message().await, (one.home, number));
+            Timer::after(limit / 4).await;
+            assert!(one.node.unresponsive(limit).is_empty(), "at message {number}");
+        }
+    });
+}
+
 #[test]
 fn a_restarted_peer_connects_with_its_new_incarnation() {
     block_on(async {
--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -105,6 +105,7 @@
         | Decision::Place { .. }
         | Decision::Forward { .. }
         | Decision::Start { .. }
+        | Decision::Peer { .. }
         | Decision::LateRun { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
         Decision::RunEnded { how, .. } => matches!(how, Ending::Unsent | Ending::Refused),
--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -16,7 +16,10 @@
     id::{EndpointId, Home, WaiterId},
     unit::{Span, Time},
 };
-use std::sync::{Arc, OnceLock};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 // [`runs::Entry`] expects ticks at least this often.
 const _: () = assert!(timer::TICK_INTERVAL.as_micros() <= TICK.0 as u128);
@@ -24,6 +27,10 @@
 /// Number of unlisted executors above which those that are no longer in use are forgotten.
 const MAX_UNLISTED_EXECUTORS: usize = 64;
 
+/// A peer that acknowledges nothing for this long gets no tasks. A round trip between data centres
+/// takes a few milliseconds, and a VM whose processor share is used up may not run for 100 ms.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// An executor without an order for this long runs nothing. Those with runs are polled several
 /// times in a second, listed or not.
 const IDLE_TIME: Span = Span::from_secs(10);
@@ -179,6 +186,10 @@
     pub async fn run_timer(self: Arc<Self>) {
         loop {
             timer::next_tick().await;
+            let unresponsive = self.node.get().map(|node| node.unresponsive(RESPONSE_TIMEOUT));
+            for peer in unresponsive.unwrap_or_default() {
+                self.feed(Event::PeerUnresponsive { peer });
+            }
             self.feed(Event::Tick);
         }
     }
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -44,6 +44,7 @@
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
     speeds: Gauge<u64>,
+    unresponsive: Counter<u64>,
 }
 
 impl Metrics {
@@ -98,6 +99,10 @@
                 .u64_gauge("executor_speed_percent")
                 .with_description("Run time on executors of a kind, in percent of the estimate")
                 .build(),
+            unresponsive: counter(
+                "peers_unresponsive",
+                "Times that a peer stopped to acknowledge what was sent to it",
+            ),
             exporter,
         })
     }
@@ -129,6 +134,7 @@
             }
             Decision::LateRun { kind, .. } => self.late_runs.add(1, &[kind_label(kind.as_ref())]),
             Decision::Forward { .. } => self.forwards.add(1, &[]),
+            Decision::Peer { responsive: false, .. } => self.unresponsive.add(1, &[]),
             Decision::TaskEnded { end: End::NotRun, .. } => self.returned.add(1, &[]),
             Decision::Keep { unkept: Some(unkept), .. } => {
                 self.unkept.record(unkept.0 as f64 / 1e6, &[]);
--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -239,6 +239,14 @@
         /// Whether kinds differ enough for the choice of executors.
         uneven: bool,
     },
+    /// A connected peer has stopped or begun again to acknowledge what is sent to it.
+    Peer {
+        /// The peer.
+        #[serde(serialize_with = "text")]
+        peer: Home,
+        /// Whether tasks are sent to it.
+        responsive: bool,
+    },
     /// The process did not run for a while, for example because its VM was suspended.
     Paused {
         /// How long it did not run.
--- a/components/runs/src/entry/mod.rs
+++ b/components/runs/src/entry/mod.rs
@@ -161,6 +161,7 @@
             Event::Message { from, message } => self.handle_message(now, from, message, out),
             Event::PeerUp { peer } => self.peer_up(now, peer, out),
             Event::PeerDown { peer } => self.peer_down(now, peer, out),
+            Event::PeerUnresponsive { peer } => self.peer_unresponsive(peer, out),
             Event::Configured { version, services } => {
                 self.configuration = version;
                 self.keeper.set_services(services);
@@ -194,6 +195,9 @@
 
     fn handle_message(&mut self, now: Time, from: Home, message: Message, out: &mut Vec<Action>) {
         self.last_contact.insert(from, Contact::new(now));
+        if self.jobs.peers.set_responsive(from) {
+            out.push(Action::Log(Decision::Peer { peer: from, responsive: true }));
+        }
         match message {
             Message::Place(placement) => {
                 let offset = self.clocks.entry(from).or_default();
@@ -272,6 +276,12 @@
         self.view_changed(now, changed, out);
     }
 
+    fn peer_unresponsive(&mut self, peer: Home, out: &mut Vec<Action>) {
+        if self.options.avoid_unresponsive && self.jobs.peers.set_unresponsive(peer) {
+            out.push(Action::Log(Decision::Peer { peer, responsive: false }));
+        }
+    }
+
     fn peer_down(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.disconnect(peer);
         let heard = self.last_contact.remove(&peer).map_or(now, |contact| contact.at);
--- a/components/runs/src/event.rs
+++ b/components/runs/src/event.rs
@@ -83,6 +83,12 @@
         /// The disconnected peer.
         peer: Home,
     },
+    /// A connected peer has acknowledged nothing for a while, although messages were sent to it.
+    /// Ends with its next message.
+    PeerUnresponsive {
+        /// The unresponsive peer.
+        peer: Home,
+    },
     /// A new version of the operator's configuration was read.
     Configured {
         /// Version of the configuration.
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -7,7 +7,7 @@
     message::{Report, Room},
     speed::Factor,
 };
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
     id::{DataCentreId, Home},
     unit::{Span, Time},
@@ -22,6 +22,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     peers: FxHashMap<Home, Peer>,
+    /// Connected peers that have not acknowledged what was sent to them. Tasks sent to them are likely
+    /// lost, so their reports do not count.
+    unresponsive: FxHashSet<Home>,
 }
 
 /// The latest report of one entry.
@@ -38,6 +41,17 @@
 
     pub(crate) fn disconnect(&mut self, peer: Home) {
         self.peers.remove(&peer);
+        self.unresponsive.remove(&peer);
+    }
+
+    /// Records that a peer does not acknowledge what was sent to it; returns whether that is new.
+    pub(crate) fn set_unresponsive(&mut self, peer: Home) -> bool {
+        self.peers.contains_key(&peer) && self.unresponsive.insert(peer)
+    }
+
+    /// Records that a peer has sent something; returns whether it was unresponsive.
+    pub(crate) fn set_responsive(&mut self, peer: Home) -> bool {
+        self.unresponsive.remove(&peer)
     }
 
     /// Records a report; returns whether the peer begins to have pending work.
@@ -50,9 +64,8 @@
 
     /// Keepers with room, and their room.
     pub(crate) fn with_room(&self, now: Time) -> impl Iterator<Item = (Home, &Room)> {
-        let usable =
-            move |peer: &Peer| !peer.report.room.is_empty() && now.since(peer.at) < MAX_REPORT_AGE;
-        self.peers.iter().filter(move |(_, p)| usable(p)).map(|(home, p)| (*home, &p.report.room))
+        let rooms = self.fresh(now).map(|(home, report)| (home, &report.room));
+        rooms.filter(|(_, room)| !room.is_empty())
     }
 
     /// The peer with the most room for tasks that need `cores`, among those that `is_eligible`
@@ -113,9 +126,12 @@
         there.map(|(_, report)| *report.demand).chain([own]).sum()
     }
 
+    /// The reports that are not outdated, of peers that are responsive.
     fn fresh(&self, now: Time) -> impl Iterator<Item = (Home, &Report)> {
-        let fresh = self.peers.iter().filter(move |(_, peer)| now.since(peer.at) < MAX_REPORT_AGE);
-        fresh.map(|(home, peer)| (*home, &peer.report))
+        let is_fresh = move |(home, peer): &(&Home, &Peer)| {
+            now.since(peer.at) < MAX_REPORT_AGE && !self.unresponsive.contains(*home)
+        };
+        self.peers.iter().filter(is_fresh).map(|(home, peer)| (*home, &peer.report))
     }
 
     /// Whether there are keepers, and all report that their executors are under cordon.
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -196,6 +196,9 @@
     /// Minimum time between two reports of scarce room to those keepers, or
     /// `report_interval_share` per peer where that is longer.
     pub report_interval_keepers: Span,
+    /// Whether no tasks are sent to peers that do not acknowledge what was sent to them. Otherwise
+    /// they get tasks until their connection is lost.
+    pub avoid_unresponsive: bool,
 }
 
 impl Options {
@@ -317,6 +320,7 @@
             forward_hold: Span::from_millis(15),
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
+            avoid_unresponsive: true,
         }
     }
 }
--- a/lab/src/simulation/faults.rs
+++ b/lab/src/simulation/faults.rs
@@ -1,6 +1,8 @@
 //! Begins and ends faults.
 
-use super::{Fault, PEER_TIMEOUT_US, REGISTRATION_TTL_US, Simulation, Step};
+use super::{
+    Fault, PEER_RESPONSE_TIMEOUT_US, PEER_TIMEOUT_US, REGISTRATION_TTL_US, Simulation, Step,
+};
 use runs::Event;
 use site::{id::WaiterId, unit::Time};
 
@@ -16,6 +18,7 @@
                 let until = Time(self.now.0 + ms * 1_000);
                 self.nodes[entry].frozen_until = until;
                 self.executors_lose_keeper(entry);
+                self.becomes_unresponsive(entry, ms * 1_000);
                 if ms * 1_000 > PEER_TIMEOUT_US {
                     let home = self.nodes[entry].home;
                     for node in (0..self.nodes.len()).filter(|node| *node != entry) {
@@ -28,6 +31,13 @@
             }
             Fault::Cut { entry, ms } => {
                 self.nodes[entry].cut_until = Time(self.now.0 + ms * 1_000);
+                self.becomes_unresponsive(entry, ms * 1_000);
+                if ms * 1_000 > PEER_RESPONSE_TIMEOUT_US {
+                    for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+                        let peer = self.nodes[node].home;
+                        self.after(PEER_RESPONSE_TIMEOUT_US, Step::Unresponsive(entry, peer));
+                    }
+                }
                 if ms * 1_000 > PEER_TIMEOUT_US {
                     let home = self.nodes[entry].home;
                     for node in (0..self.nodes.len()).filter(|node| *node != entry) {
@@ -41,6 +51,12 @@
             Fault::CutLink { entry, peer, ms } => {
                 let until = Time(self.now.0 + ms * 1_000);
                 self.cut_links.insert((entry.min(peer), entry.max(peer)), until);
+                if ms * 1_000 > PEER_RESPONSE_TIMEOUT_US {
+                    for (node, other) in [(entry, peer), (peer, entry)] {
+                        let home = self.nodes[other].home;
+                        self.after(PEER_RESPONSE_TIMEOUT_US, Step::Unresponsive(node, home));
+                    }
+                }
                 if ms * 1_000 > PEER_TIMEOUT_US {
                     for (node, other) in [(entry, peer), (peer, entry)] {
                         let home = self.nodes[other].home;
@@ -89,11 +105,23 @@
         for node in (0..self.nodes.len()).filter(|node| *node != entry) {
             self.after(PEER_TIMEOUT_US, Step::LinkDown(node, home));
         }
+        self.becomes_unresponsive(entry, u64::MAX);
         self.links.retain(|(_, to)| *to != home);
         self.after(REGISTRATION_TTL_US, Step::ExpireRegistration(entry, home.incarnation));
         self.after(restart_us, Step::Restart(entry));
     }
 
+    /// All others find that an entry acknowledges nothing, unless it does so again before.
+    fn becomes_unresponsive(&mut self, entry: usize, for_us: u64) {
+        if for_us <= PEER_RESPONSE_TIMEOUT_US {
+            return;
+        }
+        let home = self.nodes[entry].home;
+        for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+            self.after(PEER_RESPONSE_TIMEOUT_US, Step::Unresponsive(node, home));
+        }
+    }
+
     /// Begins to measure how long the executors of an entry are without a keeper.
     fn executors_lose_keeper(&mut self, entry: usize) {
         for (executor, keeper) in &self.keepers {
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -44,6 +44,9 @@
 const CALLER_DELAY_US: u64 = 3_000;
 /// A peer that is unresponsive for this long counts as disconnected.
 const PEER_TIMEOUT_US: u64 = 800_000;
+
+/// Time until an entry finds that a peer acknowledges nothing.
+const PEER_RESPONSE_TIMEOUT_US: u64 = 200_000;
 /// An order without a response fails after this time.
 const ORDER_TIMEOUT_US: u64 = 300_000;
 /// Delay until a caller submits its job again after a lost connection.
@@ -99,6 +102,7 @@
     EndFault(Fault),
     Restart(usize),
     ExpireRegistration(usize, Incarnation),
+    Unresponsive(usize, Home),
     LinkDown(usize, Home),
     LinkUp(usize, usize),
     ReplaceExecutor(usize),
@@ -312,6 +316,11 @@
                     self.publish_members();
                 }
             }
+            Step::Unresponsive(node, peer) => {
+                if self.links.contains(&(peer, self.nodes[node].home)) {
+                    self.handle_event(node, Event::PeerUnresponsive { peer });
+                }
+            }
             Step::LinkDown(node, peer) => {
                 let me = self.nodes[node].home;
                 if self.links.remove(&(peer, me)) {
