health: Observation::Straggling and Monitor::is_doubtful, without effect

Keepers report stragglers and rank doubtful executors by these. Straggling is ignored and no endpoint is doubtful until the rule by likelihood is added.

--- a/components/health/src/monitor.rs
+++ b/components/health/src/monitor.rs
@@ -80,6 +80,12 @@
         self.records.get(&id).map_or(State::Open, |record| record.state)
     }
 
+    /// Returns whether the evidence is in favour of the endpoint being sick, though it is not
+    /// isolated.
+    pub fn is_doubtful(&self, _id: EndpointId) -> bool {
+        false
+    }
+
     /// Returns whether another attempt may start at the endpoint, without granting one.
     pub fn is_open(&self, id: EndpointId) -> bool {
         self.records.get(&id).is_some_and(Record::has_room)
@@ -116,6 +122,9 @@
         observation: Observation,
         attempt: Attempt,
     ) -> Change {
+        if observation == Observation::Straggling {
+            return Change::None;
+        }
         self.release(id);
         self.expire_marks(now);
         let failed_start = attempt.started.unwrap_or(now);
@@ -128,6 +137,7 @@
                 let slow = self.measure(now, id, elapsed, expected);
                 self.succeed(now, id, started).unwrap_or(slow)
             }
+            Observation::Straggling => Change::None,
             Observation::Refused => self.refuse(now, id),
             Observation::NotSent => self.fail(now, id, failed_start),
             Observation::Failed | Observation::Lost | Observation::TimedOut => {
--- a/components/health/src/observation.rs
+++ b/components/health/src/observation.rs
@@ -22,6 +22,11 @@
     Lost,
     /// No answer arrived before the time limit.
     TimedOut,
+    /// The attempt takes longer than it should and is still in flight. Reported at most once per
+    /// attempt, before its end, with the attempt's start time; it does not release the grant. The
+    /// attempt's end replaces it. An attempt that is stopped because of this report is released
+    /// rather than observed as [`TimedOut`](Self::TimedOut), so that it counts as straggling only.
+    Straggling,
 }
 
 /// Identifies what several attempts have in common and what may itself be the cause of their
