--- a/components/dispatch/src/pool/timer.rs
+++ b/components/dispatch/src/pool/timer.rs
@@ -53,7 +53,7 @@
         out: &mut Vec<Action>,
     ) {
         let (open, cause) = match change {
-            Change::None => return,
+            Change::None | Change::Doubt => return,
             Change::Slow(factor) => return self.set_speed(endpoint, factor),
             Change::Isolate { .. } => (false, Cause::Failures),
             Change::Probe => (true, Cause::Probe),
--- a/components/health/src/lib.rs
+++ b/components/health/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! Nothing here reads a clock; the caller passes the time and drives the timers.
 
+mod base;
 mod cause;
+mod evidence;
 mod monitor;
 mod observation;
 mod record;
--- a/components/health/src/monitor.rs
+++ b/components/health/src/monitor.rs
@@ -1,9 +1,11 @@
 //! Health monitor for all endpoints of a pool.
 
 use crate::{
+    base::Base,
     cause::CauseTracker,
+    evidence::{CONFIRM_AFTER, Outcome},
     observation::{Attempt, Change, Observation, State},
-    record::{Record, SUSPECT_STREAK},
+    record::{MAX_LOST_TASKS, Record, SUSPECT_STREAK},
     rule::Rule,
     speed::Fleet,
 };
@@ -24,6 +26,10 @@
 const SUCCESS_WINDOW: Span = Span::from_secs(2);
 /// Number of refusals that count as one failure.
 const REFUSALS_PER_FAILURE: u32 = 2;
+/// Share of the bits from which an endpoint is doubtful.
+const DOUBT_SHARE: f32 = 0.5;
+/// Minimum number of endpoints for the rule by likelihood.
+const MIN_LIKELIHOOD_ENDPOINTS: usize = 20;
 /// Time without a success after which a slow endpoint is treated as normal, so that it is used and
 /// measured again.
 const SLOW_EXPIRY: Span = Span::from_secs(10);
@@ -50,6 +56,8 @@
     timers: BTreeSet<(Time, EndpointId)>,
     causes: CauseTracker,
     fleet: Fleet,
+    /// Used by the rule by likelihood only.
+    base: Base,
 }
 
 impl Monitor {
@@ -66,12 +74,14 @@
     /// Adds an endpoint. Does nothing if it is already known.
     pub fn insert(&mut self, id: EndpointId) {
         self.records.entry(id).or_default();
+        self.base.set_endpoints(self.records.len());
     }
 
     /// Removes an endpoint and its history.
     pub fn remove(&mut self, id: EndpointId) {
         if let Some(record) = self.records.remove(&id) {
             self.failing -= usize::from(record.failing);
+            self.base.set_endpoints(self.records.len());
         }
     }
 
@@ -81,9 +91,18 @@
     }
 
     /// Returns whether the evidence is in favour of the endpoint being sick, though it is not
-    /// isolated.
-    pub fn is_doubtful(&self, _id: EndpointId) -> bool {
-        false
+    /// isolated. Always false under other rules than [`Rule::Likelihood`], and while a common cause
+    /// is assumed.
+    pub fn is_doubtful(&self, id: EndpointId) -> bool {
+        let Some(record) = self.records.get(&id) else { return false };
+        !record.is_isolated_or_probing() && self.is_in_doubt(record) && !self.has_common_cause()
+    }
+
+    /// Returns the likelihood ratio of the endpoint being sick, as a binary logarithm, at its latest
+    /// observation. `None` if the rule does not decide by it.
+    pub fn ratio(&self, id: EndpointId) -> Option<f32> {
+        self.ratio_limit()?;
+        self.records.get(&id).map(|record| record.evidence.ratio())
     }
 
     /// Returns whether another attempt may start at the endpoint, without granting one.
@@ -122,10 +141,9 @@
         observation: Observation,
         attempt: Attempt,
     ) -> Change {
-        if observation == Observation::Straggling {
-            return Change::None;
+        if observation != Observation::Straggling {
+            self.release(id);
         }
-        self.release(id);
         self.expire_marks(now);
         let failed_start = attempt.started.unwrap_or(now);
         match observation {
@@ -137,7 +155,7 @@
                 let slow = self.measure(now, id, elapsed, expected);
                 self.succeed(now, id, started).unwrap_or(slow)
             }
-            Observation::Straggling => Change::None,
+            Observation::Straggling => self.straggle(now, id, failed_start),
             Observation::Refused => self.refuse(now, id),
             Observation::NotSent => self.fail(now, id, failed_start),
             Observation::Failed | Observation::Lost | Observation::TimedOut => {
@@ -176,6 +194,10 @@
             record.paused_until = None;
             out.push((id, Change::Probe));
         }
+        if let Some(change) = self.confirm_straggling(now, id) {
+            out.push((id, change));
+        }
+        let Some(record) = self.records.get_mut(&id) else { return };
         if record.speed.is_slow() {
             let since = record.last_success.unwrap_or(now);
             if now.since(since) >= SLOW_EXPIRY {
@@ -214,8 +236,14 @@
         let record = self.records.get_mut(&id)?;
         record.last_success = Some(now);
         record.refusals = 0;
+        let was_working = !record.is_isolated_or_probing();
         let restored = record.succeed(now, started, self.rule);
-        if !record.is_isolated_or_probing() && record.score.streak() < FAILING_STREAK {
+        if was_working {
+            self.learn(now, id, started, Outcome::Succeeded);
+        }
+        let record = self.records.get(&id)?;
+        let is_failing = record.score.streak() >= FAILING_STREAK || self.is_in_doubt(record);
+        if !record.is_isolated_or_probing() && !is_failing {
             self.clear_failing(id);
         }
         restored.then_some(Change::Restore)
@@ -232,7 +260,6 @@
     }
 
     fn fail(&mut self, now: Time, id: EndpointId, started: Time) -> Change {
-        let rule = self.rule;
         let Some(record) = self.records.get_mut(&id) else { return Change::None };
         record.last_failure = now;
         match record.state {
@@ -241,20 +268,109 @@
             State::Open | State::Suspect => record.score.fail(started),
         }
         let streak = record.score.streak();
-        let is_unhealthy = record.score.is_unhealthy(rule);
         if streak >= SUSPECT_STREAK {
             record.state = State::Suspect;
         }
-        if streak >= FAILING_STREAK || is_unhealthy {
+        self.learn(now, id, started, Outcome::Failed);
+        self.judge(now, id)
+    }
+
+    /// Records that an attempt straggles. It counts a little later, by a timer.
+    fn straggle(&mut self, now: Time, id: EndpointId, started: Time) -> Change {
+        let is_working = |record: &Record| !record.is_isolated_or_probing();
+        if !self.records.get(&id).is_some_and(is_working) {
+            return Change::None;
+        }
+        let from = now + CONFIRM_AFTER;
+        if self.learn(now, id, started, Outcome::Straggling(from)) {
+            self.timers.insert((from, id));
+        }
+        Change::None
+    }
+
+    /// Judges an endpoint again if it has straggling attempts.
+    fn confirm_straggling(&mut self, now: Time, id: EndpointId) -> Option<Change> {
+        let record = self.records.get_mut(&id)?;
+        if record.is_isolated_or_probing() || !record.evidence.has_straggling() {
+            return None;
+        }
+        record.last_failure = now;
+        record.evidence.weigh(now, &self.base);
+        let change = self.judge(now, id);
+        (change != Change::None).then_some(change)
+    }
+
+    /// Records an outcome for the base rates and the likelihood ratio. Returns whether it counts.
+    fn learn(&mut self, now: Time, id: EndpointId, started: Time, outcome: Outcome) -> bool {
+        if !matches!(self.rule, Rule::Likelihood { .. }) {
+            return false;
+        }
+        // Suspects would raise the rates that they are compared with.
+        let counts = self
+            .records
+            .get(&id)
+            .is_some_and(|record| self.has_common_cause() || !self.is_in_doubt(record));
+        let Some(record) = self.records.get_mut(&id) else { return false };
+        let own = &mut record.evidence.own;
+        match outcome {
+            _ if !counts => {}
+            Outcome::Straggling(_) => self.base.straggle(own),
+            outcome => self.base.end(outcome == Outcome::Failed, own),
+        }
+        let is_evidence = record.evidence.record(started, outcome, &self.base);
+        record.evidence.weigh(now, &self.base);
+        is_evidence
+    }
+
+    /// Isolates, pauses or doubts an endpoint, as its record demands after new evidence against it.
+    fn judge(&mut self, now: Time, id: EndpointId) -> Change {
+        let Some(record) = self.records.get(&id) else { return Change::None };
+        let is_unhealthy = self.is_unhealthy(record);
+        let is_in_doubt = self.is_in_doubt(record);
+        if is_unhealthy || is_in_doubt || record.score.streak() >= FAILING_STREAK {
             self.mark_failing(now, id);
         }
+        let has_common_cause = self.has_common_cause();
+        let Some(record) = self.records.get_mut(&id) else { return Change::None };
+        if (is_unhealthy || is_in_doubt) && !has_common_cause {
+            self.base.withdraw(&mut record.evidence.own);
+        }
+        let was_reported = record.evidence.reported;
+        record.evidence.reported = is_in_doubt;
         match is_unhealthy {
-            true if self.has_common_cause() => self.pause(now, id),
+            true if has_common_cause => self.pause(now, id),
             true => self.isolate(now, id),
+            false if is_in_doubt && !was_reported => Change::Doubt,
             false => Change::None,
         }
     }
 
+    /// The ratio at which endpoints are isolated, in bits, if the rule decides by it.
+    fn ratio_limit(&self) -> Option<f32> {
+        match self.rule {
+            Rule::Likelihood { bits }
+                if self.records.len() >= MIN_LIKELIHOOD_ENDPOINTS && self.base.is_known() =>
+            {
+                Some(bits as f32)
+            }
+            _ => None,
+        }
+    }
+
+    fn is_unhealthy(&self, record: &Record) -> bool {
+        match self.ratio_limit() {
+            Some(limit) => {
+                record.evidence.ratio() >= limit || record.score.streak() >= MAX_LOST_TASKS
+            }
+            None => record.score.is_unhealthy(self.rule),
+        }
+    }
+
+    /// Returns whether the ratio is in favour of the endpoint being sick.
+    fn is_in_doubt(&self, record: &Record) -> bool {
+        self.ratio_limit().is_some_and(|limit| record.evidence.ratio() >= limit * DOUBT_SHARE)
+    }
+
     /// Pauses an endpoint that would be isolated if fewer others were failing.
     fn pause(&mut self, now: Time, id: EndpointId) -> Change {
         if let Some(record) = self.records.get_mut(&id) {
@@ -312,6 +428,8 @@
                 record.queued = true;
                 self.marks.push_back((now + FAILING_WINDOW, id));
             } else {
+                // An endpoint that gets no work can't disprove what was found long ago.
+                record.evidence.reset(record.evidence.since(), 0.0);
                 self.clear_failing(id);
             }
         }
--- a/components/health/src/observation.rs
+++ b/components/health/src/observation.rs
@@ -76,4 +76,6 @@
     Restore,
     /// The endpoint takes this many times as long as the others; 1 when it is no longer slow.
     Slow(f32),
+    /// The endpoint became doubtful. It takes work as before.
+    Doubt,
 }
--- a/components/health/src/record.rs
+++ b/components/health/src/record.rs
@@ -1,6 +1,7 @@
 //! Health record of one endpoint.
 
 use crate::{
+    evidence::Evidence,
     observation::State,
     rule::{Rule, Score},
     speed::Speed,
@@ -24,8 +25,11 @@
 /// Time since the last restore after which the next isolation starts with the first interval.
 pub(crate) const INTERVAL_RESET_AFTER: Span = Span::from_secs(120);
 
+/// Likelihood ratio of a restored endpoint, in bits.
+const RATIO_WHEN_RESTORED: f32 = 0.0;
+
 /// Health record of one endpoint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Record {
     pub(crate) state: State,
     /// Attempts that were granted and whose outcome is not yet recorded.
@@ -52,6 +56,8 @@
     /// Duration of the latest pause; zero after a success.
     pub(crate) pause: Span,
     pub(crate) speed: Speed,
+    /// Used by the rule by likelihood only.
+    pub(crate) evidence: Evidence,
 }
 
 impl Default for Record {
@@ -72,6 +78,7 @@
             paused_until: None,
             pause: Span::ZERO,
             speed: Speed::default(),
+            evidence: Evidence::default(),
         }
     }
 }
@@ -146,6 +153,7 @@
         }
         self.state = State::Open;
         self.score = Score::default();
+        self.evidence.reset(now, RATIO_WHEN_RESTORED);
         self.restored = Some(now);
         true
     }
--- a/components/health/src/rule.rs
+++ b/components/health/src/rule.rs
@@ -28,6 +28,28 @@
         /// Consecutive successes that reset the penalty.
         reward: u32,
     },
+    /// When the likelihood ratio of the endpoint being sick to it being like the others has reached
+    /// 2 to the power of `bits`, or after [`MAX_LOST_TASKS`] consecutive failures. It is doubtful
+    /// from half of the bits on. The default rule decides while the pool is small or has not seen
+    /// enough attempts.
+    Likelihood {
+        /// Binary logarithm of the ratio at which the endpoint is isolated.
+        bits: u32,
+    },
+}
+
+impl Rule {
+    /// Rule by likelihood. In a pool that has no errors, three failures in a row isolate an
+    /// endpoint and two make it doubtful.
+    pub const LIKELIHOOD: Rule = Rule::Likelihood { bits: 14 };
+
+    /// The rule that counts while the base rates of a pool are not known.
+    fn without_rates(self) -> Self {
+        match self {
+            Rule::Likelihood { .. } => Self::default(),
+            rule => rule,
+        }
+    }
 }
 
 impl Default for Rule {
@@ -79,7 +101,8 @@
             return;
         }
         self.reward += 1;
-        if matches!(rule, Rule::PenaltyReward { reward, .. } if self.reward >= reward) {
+        if matches!(rule.without_rates(), Rule::PenaltyReward { reward, .. } if self.reward >= reward)
+        {
             self.penalty = 0;
             self.reward = 0;
         }
@@ -97,15 +120,16 @@
         self.len = remaining;
     }
 
-    /// Returns whether the rule isolates the endpoint.
+    /// Returns whether the rule isolates the endpoint while base rates are not known.
     pub(crate) fn is_unhealthy(&self, rule: Rule) -> bool {
-        match rule {
+        match rule.without_rates() {
             Rule::Consecutive { limit } => self.streak() >= limit,
             Rule::ErrorRate { window, limit } => {
                 let recent = self.history & (u64::MAX >> (64 - window.clamp(1, 64)));
                 recent.count_ones() >= limit
             }
             Rule::PenaltyReward { penalty, .. } => self.penalty >= penalty,
+            Rule::Likelihood { .. } => false,
         }
     }
 }
