--- a/components/health/benches/rules.rs
+++ b/components/health/benches/rules.rs
@@ -7,7 +7,8 @@
 //! tasks hang. A task is reported as straggling after 450 ms and stopped after 1,650 ms, as a keeper
 //! does. Doubtful endpoints get work like others.
 //!
-//! `cargo bench -p health --bench rules -- 10` runs pools of ten endpoints instead.
+//! `cargo bench -p health --bench rules -- 10 Likelihood` runs pools of ten endpoints instead, and
+//! only the rules whose name contains the word.
 
 use health::{Attempt, Change, Monitor, Observation, Rule, State};
 use rand::{Rng, SeedableRng};
@@ -302,7 +303,7 @@
 }
 
 fn main() {
-    let rules = vec![
+    let mut rules = vec![
         Rule::Consecutive { limit: 4 },
         Rule::Consecutive { limit: 5 },
         Rule::Consecutive { limit: 6 },
@@ -321,7 +322,11 @@
         Rule::Likelihood { bits: 20 },
     ];
     assert_eq!(Monitor::new().state(EndpointId(0)), State::Open);
-    let endpoints = env::args().find_map(|argument| argument.parse().ok()).unwrap_or(ENDPOINTS);
+    let arguments: Vec<_> = env::args().skip(1).filter(|word| !word.starts_with('-')).collect();
+    let endpoints = arguments.first().and_then(|word| word.parse().ok()).unwrap_or(ENDPOINTS);
+    if let Some(name) = arguments.get(1) {
+        rules.retain(|rule| format!("{rule:?}").contains(name.as_str()));
+    }
     println!(
         "{SEEDS} runs each with {endpoints} endpoints; 'lost first' and 'lost, doubt' are the most \
          of any endpoint and run, others are means"
--- a/components/health/src/base.rs
+++ b/components/health/src/base.rs
@@ -2,11 +2,14 @@
 
 /// Attempts per endpoint after which the weight of an attempt has fallen to 1/e. As errors that
 /// begin everywhere at once look like sick endpoints until the rates are learnt, few.
-const MEMORY_PER_ENDPOINT: usize = 8;
+const MEMORY_PER_ENDPOINT: usize = 4;
 /// Minimum of attempts for the same, so that small pools don't take chance for a rate.
-const MIN_MEMORY: usize = 400;
+const MIN_MEMORY: usize = 200;
 /// Minimum rate that is assumed, so that a single failure is no proof where nothing has failed.
-const MIN_RATE: f32 = 0.005;
+const MIN_RATE: f32 = 0.006;
+/// Attempts that are added to the failed and to the straggling ones: a rate that is low by chance
+/// makes sound endpoints look sick.
+const PRIOR: f32 = 1.0;
 
 /// Attempts by outcome. Older ones weigh less.
 #[derive(Clone, Copy, Debug, Default)]
@@ -85,7 +88,7 @@
         let mut own = *own;
         own.decay(self.ended, self.memory);
         let others = self.without(&own);
-        let rate = |count: f32| (count / others.ended.max(1.0)).clamp(MIN_RATE, 1.0);
+        let rate = |count: f32| ((count + PRIOR) / others.ended.max(1.0)).clamp(MIN_RATE, 1.0);
         Rates { failed: rate(others.failed), straggling: rate(others.straggling) }
     }
 
--- a/components/health/src/evidence.rs
+++ b/components/health/src/evidence.rs
@@ -64,18 +64,18 @@
             && self.attempts.iter().any(|known| matches!(known.outcome, Outcome::Straggling(_)))
     }
 
-    /// Attempts that started earlier are ignored.
-    pub(crate) fn since(&self) -> Time {
-        self.since
+    /// Forgets all attempts, and ignores those that started before `since`.
+    pub(crate) fn reset(&mut self, since: Time) {
+        self.forget();
+        self.since = since;
     }
 
-    /// Forgets all attempts, and ignores those that started before `since`.
-    pub(crate) fn reset(&mut self, since: Time, ratio: f32) {
+    /// Forgets all attempts.
+    pub(crate) fn forget(&mut self) {
         self.attempts.clear();
         self.bad = 0;
-        self.carried = ratio;
-        self.ratio = ratio;
-        self.since = since;
+        self.carried = 0.0;
+        self.ratio = 0.0;
         self.reported = false;
     }
 
--- a/components/health/src/monitor.rs
+++ b/components/health/src/monitor.rs
@@ -157,13 +157,14 @@
             }
             Observation::Straggling => self.straggle(now, id, failed_start),
             Observation::Refused => self.refuse(now, id),
-            Observation::NotSent => self.fail(now, id, failed_start),
+            Observation::NotSent => self.fail(now, id, failed_start, true),
             Observation::Failed | Observation::Lost | Observation::TimedOut => {
                 let blamed = attempt.cause.is_some_and(|cause| self.causes.fail(cause, id));
                 if blamed && self.succeeded_recently(now, id) {
                     return Change::None;
                 }
-                self.fail(now, id, failed_start)
+                let is_evidence = observation != Observation::Lost || self.is_first_loss(now, id);
+                self.fail(now, id, failed_start, is_evidence)
             }
         }
     }
@@ -256,10 +257,18 @@
             return Change::None;
         }
         record.refusals = 0;
-        self.fail(now, id, now)
+        self.fail(now, id, now, true)
     }
 
-    fn fail(&mut self, now: Time, id: EndpointId, started: Time) -> Change {
+    /// Whether no other attempt was lost at the same moment. Those that end with a lease or a
+    /// connection are a single event for the likelihood ratio.
+    fn is_first_loss(&mut self, now: Time, id: EndpointId) -> bool {
+        let Some(record) = self.records.get_mut(&id) else { return false };
+        record.last_lost.replace(now) != Some(now)
+    }
+
+    /// Records a failure. `is_evidence` tells whether it counts for the likelihood ratio.
+    fn fail(&mut self, now: Time, id: EndpointId, started: Time, is_evidence: bool) -> Change {
         let Some(record) = self.records.get_mut(&id) else { return Change::None };
         record.last_failure = now;
         match record.state {
@@ -271,7 +280,9 @@
         if streak >= SUSPECT_STREAK {
             record.state = State::Suspect;
         }
-        self.learn(now, id, started, Outcome::Failed);
+        if is_evidence {
+            self.learn(now, id, started, Outcome::Failed);
+        }
         self.judge(now, id)
     }
 
@@ -311,15 +322,17 @@
             .get(&id)
             .is_some_and(|record| self.has_common_cause() || !self.is_in_doubt(record));
         let Some(record) = self.records.get_mut(&id) else { return false };
+        if !record.evidence.record(started, outcome, &self.base) {
+            return false;
+        }
         let own = &mut record.evidence.own;
         match outcome {
             _ if !counts => {}
             Outcome::Straggling(_) => self.base.straggle(own),
             outcome => self.base.end(outcome == Outcome::Failed, own),
         }
-        let is_evidence = record.evidence.record(started, outcome, &self.base);
         record.evidence.weigh(now, &self.base);
-        is_evidence
+        true
     }
 
     /// Isolates, pauses or doubts an endpoint, as its record demands after new evidence against it.
@@ -331,6 +344,7 @@
             self.mark_failing(now, id);
         }
         let has_common_cause = self.has_common_cause();
+        let has_ratio = self.ratio_limit().is_some();
         let Some(record) = self.records.get_mut(&id) else { return Change::None };
         if (is_unhealthy || is_in_doubt) && !has_common_cause {
             self.base.withdraw(&mut record.evidence.own);
@@ -338,6 +352,8 @@
         let was_reported = record.evidence.reported;
         record.evidence.reported = is_in_doubt;
         match is_unhealthy {
+            // Pauses only affect suspects.
+            true if has_common_cause && has_ratio && record.state == State::Open => Change::None,
             true if has_common_cause => self.pause(now, id),
             true => self.isolate(now, id),
             false if is_in_doubt && !was_reported => Change::Doubt,
@@ -429,7 +445,7 @@
                 self.marks.push_back((now + FAILING_WINDOW, id));
             } else {
                 // An endpoint that gets no work can't disprove what was found long ago.
-                record.evidence.reset(record.evidence.since(), 0.0);
+                record.evidence.forget();
                 self.clear_failing(id);
             }
         }
--- a/components/health/src/record.rs
+++ b/components/health/src/record.rs
@@ -25,9 +25,6 @@
 /// Time since the last restore after which the next isolation starts with the first interval.
 pub(crate) const INTERVAL_RESET_AFTER: Span = Span::from_secs(120);
 
-/// Likelihood ratio of a restored endpoint, in bits.
-const RATIO_WHEN_RESTORED: f32 = 0.0;
-
 /// Health record of one endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct Record {
@@ -56,6 +53,8 @@
     /// Duration of the latest pause; zero after a success.
     pub(crate) pause: Span,
     pub(crate) speed: Speed,
+    /// When an attempt was last lost.
+    pub(crate) last_lost: Option<Time>,
     /// Used by the rule by likelihood only.
     pub(crate) evidence: Evidence,
 }
@@ -78,6 +77,7 @@
             paused_until: None,
             pause: Span::ZERO,
             speed: Speed::default(),
+            last_lost: None,
             evidence: Evidence::default(),
         }
     }
@@ -153,7 +153,7 @@
         }
         self.state = State::Open;
         self.score = Score::default();
-        self.evidence.reset(now, RATIO_WHEN_RESTORED);
+        self.evidence.reset(now);
         self.restored = Some(now);
         true
     }
--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -202,6 +202,9 @@
         executor: CompactString,
         /// The change, as the `Debug` output of `health::Change`.
         change: CompactString,
+        /// Binary logarithm of the likelihood ratio of the executor being sick, if it decides.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        ratio: Option<f32>,
     },
     /// The set of entries that keep executors changed.
     Members {
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -89,7 +89,7 @@
             leases: FxHashMap::default(),
             queue: Queue::default(),
             forwarding: Forwarding::default(),
-            health: Monitor::new(),
+            health: Monitor::with_rule(options.health_rule.rule()),
             speeds: Speeds::new(&options),
             demand: FastDemand::default(),
             has_several_services: false,
--- a/components/runs/src/keeper/stop.rs
+++ b/components/runs/src/keeper/stop.rs
@@ -153,6 +153,7 @@
         }
         let executor = lease.executor.name.clone();
         let change = format_compact!("{change:?}");
-        out.push(Action::Log(Decision::Health { executor, change }));
+        let ratio = self.health.ratio(id).map(|bits| (bits * 10.0).round() / 10.0);
+        out.push(Action::Log(Decision::Health { executor, change, ratio }));
     }
 }
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -1,6 +1,7 @@
 //! Limits of an entry's logic.
 
 use crate::view::{Former, View};
+use health::Rule;
 use serde::{Deserialize, Serialize};
 use site::{
     id::Home,
@@ -40,6 +41,26 @@
     Forecast,
 }
 
+/// When a keeper isolates an executor.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HealthRule {
+    /// After several failures without enough successes in a row between them.
+    Penalty,
+    /// Once its attempts are far likelier for a sick executor than for one like the others.
+    Likelihood,
+}
+
+impl HealthRule {
+    /// The rule of the health monitor.
+    pub(crate) fn rule(self) -> Rule {
+        match self {
+            HealthRule::Penalty => Rule::default(),
+            HealthRule::Likelihood => Rule::LIKELIHOOD,
+        }
+    }
+}
+
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
 ///
 /// The names are those of the settings, where a poll of an executor is called a look.
@@ -196,6 +217,8 @@
     /// Minimum time between two reports of scarce room to those keepers, or
     /// `report_interval_share` per peer where that is longer.
     pub report_interval_keepers: Span,
+    /// When an executor that fails or hangs is isolated.
+    pub health_rule: HealthRule,
 }
 
 impl Options {
@@ -317,6 +340,7 @@
             forward_hold: Span::from_millis(15),
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
+            health_rule: HealthRule::Likelihood,
         }
     }
 }
