--- a/components/health/src/base.rs
+++ b/components/health/src/base.rs
@@ -1,14 +1,16 @@
 //! Base rates: how often attempts fail or straggle at the endpoints that are not suspected.
 
-/// Attempts per endpoint after which the weight of an attempt has fallen to 1/e. As errors that
-/// begin everywhere at once look like sick endpoints until the rates are learnt, few.
+/// Attempts per endpoint after which the weight of an attempt has fallen to 1/e. Small, because errors
+/// that begin everywhere at once look like sick endpoints until the rates are learnt; 16 led to
+/// isolations of sound endpoints.
 const MEMORY_PER_ENDPOINT: usize = 4;
-/// Minimum of attempts for the same, so that small pools don't take chance for a rate.
+/// Minimum number of attempts for the same. In small pools the rates would be too uncertain.
 const MIN_MEMORY: usize = 200;
-/// Minimum rate that is assumed, so that a single failure is no proof where nothing has failed.
+/// Minimum rate that is assumed: three failures in a row, but not two, isolate an endpoint in a pool
+/// that never fails.
 const MIN_RATE: f32 = 0.006;
-/// Attempts that are added to the failed and to the straggling ones: a rate that is low by chance
-/// makes sound endpoints look sick.
+/// Number of attempts that is added to the failed and to the straggling ones. Without it, rates that
+/// are too low by chance led to isolations of sound endpoints at 1% errors.
 const PRIOR: f32 = 1.0;
 
 /// Attempts by outcome. Older ones weigh less.
