--- a/components/health/src/record.rs
+++ b/components/health/src/record.rs
@@ -1,6 +1,7 @@
 //! Health record of one endpoint.
 
 use crate::{
+    evidence::Evidence,
     observation::State,
     rule::{Rule, Score},
     speed::Speed,
@@ -25,7 +26,7 @@
 pub(crate) const INTERVAL_RESET_AFTER: Span = Span::from_secs(120);
 
 /// Health record of one endpoint.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Record {
     pub(crate) state: State,
     /// Attempts that were granted and whose outcome is not yet recorded.
@@ -52,6 +53,10 @@
     /// Duration of the latest pause; zero after a success.
     pub(crate) pause: Span,
     pub(crate) speed: Speed,
+    /// When an attempt was last lost.
+    pub(crate) last_lost: Option<Time>,
+    /// Used by the rule by likelihood only.
+    pub(crate) evidence: Evidence,
 }
 
 impl Default for Record {
@@ -72,6 +77,8 @@
             paused_until: None,
             pause: Span::ZERO,
             speed: Speed::default(),
+            last_lost: None,
+            evidence: Evidence::default(),
         }
     }
 }
@@ -146,6 +153,7 @@
         }
         self.state = State::Open;
         self.score = Score::default();
+        self.evidence.reset(now);
         self.restored = Some(now);
         true
     }
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -1,6 +1,7 @@
 //! Limits of an entry's logic.
 
 use crate::view::{Former, View};
+use health::Rule;
 use serde::{Deserialize, Serialize};
 use site::{
     id::Home,
@@ -40,6 +41,26 @@
     Forecast,
 }
 
+/// When a keeper isolates an executor.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HealthRule {
+    /// After several failures without enough successes in a row between them.
+    Penalty,
+    /// Once its attempts are far likelier for a sick executor than for one like the others.
+    Likelihood,
+}
+
+impl HealthRule {
+    /// The rule of the health monitor.
+    pub(crate) fn rule(self) -> Rule {
+        match self {
+            HealthRule::Penalty => Rule::default(),
+            HealthRule::Likelihood => Rule::LIKELIHOOD,
+        }
+    }
+}
+
 /// Limits of an entry's logic. The defaults suit tasks of 50 ms to a second.
 ///
 /// The names are those of the settings, where a poll of an executor is called a look.
@@ -199,6 +220,8 @@
     /// Whether no tasks are sent to peers that do not acknowledge what was sent to them. Otherwise
     /// they get tasks until their connection is lost.
     pub avoid_unresponsive: bool,
+    /// When an executor that fails or hangs is isolated.
+    pub health_rule: HealthRule,
 }
 
 impl Options {
@@ -321,6 +344,7 @@
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
             avoid_unresponsive: true,
+            health_rule: HealthRule::Likelihood,
         }
     }
 }
