lab, runs: peaks that move between data centres, and what is placed far

The laboratory could not shift a swing between data centres nor cut a whole data centre off, and did not count what passes between them. The log line 'place' names the far data centre, and the runner counts tasks_placed_far by it. Arrivals of existing patterns are drawn as before.

--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -44,6 +44,7 @@
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
     speeds: Gauge<u64>,
+    placed_far: Counter<u64>,
 }
 
 impl Metrics {
@@ -98,6 +99,10 @@
                 .u64_gauge("executor_speed_percent")
                 .with_description("Run time on executors of a kind, in percent of the estimate")
                 .build(),
+            placed_far: counter(
+                "tasks_placed_far",
+                "Tasks that this entry's jobs sent to other data centres, by data centre",
+            ),
             exporter,
         })
     }
@@ -128,6 +133,10 @@
                     .add(1, &[kind_label(kind.as_ref()), KeyValue::new("outlook", outlook)]);
             }
             Decision::LateRun { kind, .. } => self.late_runs.add(1, &[kind_label(kind.as_ref())]),
+            Decision::Place { tasks, far: Some(far), .. } => {
+                let far = KeyValue::new("data_centre", far.to_string());
+                self.placed_far.add(*tasks as u64, &[far]);
+            }
             Decision::Forward { .. } => self.forwards.add(1, &[]),
             Decision::TaskEnded { end: End::NotRun, .. } => self.returned.add(1, &[]),
             Decision::Keep { unkept: Some(unkept), .. } => {
--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -55,6 +55,9 @@
         room: u32,
         /// Age of that report.
         age: Span,
+        /// The keeper's data centre, if it is not that of this entry.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        far: Option<DataCentreId>,
     },
     /// A keeper handed a task that it can't start to another one.
     Forward {
--- a/components/runs/src/home/place.rs
+++ b/components/runs/src/home/place.rs
@@ -121,7 +121,6 @@
                 Candidate { keeper, count, ahead: room.ahead }
             })
             .collect();
-        let far = |home: Home| home.data_centre != self.me.data_centre;
         let subject = rendezvous::rank(key.home, key.number);
         let spare = |count: u32| self.options.spread && count as usize >= tasks * SPARE_JOBS;
         candidates.sort_by_cached_key(|Candidate { keeper, count, .. }| {
@@ -129,7 +128,7 @@
                 true => (false, rendezvous::rank(*keeper, subject), Reverse(0)),
                 false => (true, 0, Reverse(*count)),
             };
-            (*keeper != self.me, far(*keeper), rank, *keeper)
+            (*keeper != self.me, is_far(self.me, *keeper), rank, *keeper)
         });
         candidates
     }
@@ -150,6 +149,7 @@
             keeper: share.keeper,
             room: share.room,
             age,
+            far: is_far(self.me, share.keeper).then_some(share.keeper.data_centre),
         }));
         Some(placement(now, open, share))
     }
@@ -177,6 +177,10 @@
     shares
 }
 
+fn is_far(me: Home, keeper: Home) -> bool {
+    keeper.data_centre != me.data_centre
+}
+
 /// Marks the tasks of a share as placed.
 fn placement(now: Time, open: &mut OpenJob, share: &Share) -> Placement {
     let begun = open.has_begun(now);
--- a/lab/src/cmd/compare.rs
+++ b/lab/src/cmd/compare.rs
@@ -53,6 +53,8 @@
         figure("returned", |tally| tally.traffic.returned_share());
         figure("messages", |tally| tally.traffic.messages as f64);
         figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
+        figure("placed far", |tally| tally.traffic.far_share());
+        figure("kB sent far", |tally| tally.traffic.bytes_far as f64 / 1e3);
         figure("refused", |tally| tally.all.refused_share());
         figure("had room", |tally| tally.all.had_room as f64 / tally.all.jobs.max(1) as f64);
         let refused = |name: &str, groups: fn(&Tally) -> &BTreeMap<usize, Group>| {
@@ -62,6 +64,7 @@
         refused("kind", |tally| &tally.kinds);
         refused("width", |tally| &tally.widths);
         refused("data centre", |tally| &tally.zones);
+        refused("data centre at the peak", |tally| &tally.peak_zones);
     }
     Ok(())
 }
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -46,6 +46,10 @@
     figure("forwarded", |tally| tally.traffic.forwarded as f64);
     figure("messages", |tally| tally.traffic.messages as f64);
     figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
+    figure("placed far", |tally| tally.traffic.far_share());
+    figure("kB sent far", |tally| tally.traffic.bytes_far as f64 / 1e3);
+    figure("age near ms", |tally| tally.traffic.ages_near.mean_ms());
+    figure("age far ms", |tally| tally.traffic.ages_far.mean_ms());
     figure("refused p50 ms", |tally| tally.refusal_ms.0);
     figure("refused p95 ms", |tally| tally.refusal_ms.1);
     figure("unkept p50 ms", |tally| tally.unkept_ms.0);
@@ -56,6 +60,7 @@
     print_groups(&tallies, |tally| &tally.kinds, name);
     print_groups(&tallies, |tally| &tally.largest, |kind| format!("{}, largest", name(kind)));
     print_groups(&tallies, |tally| &tally.zones, |zone| format!("data centre {zone}"));
+    print_groups(&tallies, |tally| &tally.peak_zones, |zone| format!("data centre {zone}, peak"));
     Ok(())
 }
 
--- a/lab/src/pattern/draw.rs
+++ b/lab/src/pattern/draw.rs
@@ -1,7 +1,7 @@
 //! Draws the arrivals of a simulation from a pattern and a seed.
 
 use super::{Kind, Pattern};
-use crate::simulation::{Arrival, Plan, service};
+use crate::simulation::{Arrival, DataCentre, Plan, service};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, weighted::WeightedIndex};
@@ -67,10 +67,34 @@
         arrivals
     }
 
+    /// Returns the rate of a data centre at a time, as a multiple of its mean rate, without bursts.
+    fn swing(&self, data_centre: usize, at: f64) -> f64 {
+        self.swing.map_or(1.0, |swing| {
+            let phase = (at - swing.shift_s * data_centre as f64) / swing.period_s;
+            1.0 + swing.part * (TAU * phase).sin()
+        })
+    }
+
+    /// Returns the weights of the data centres at a time.
+    fn shares(&self, at: f64) -> Vec<f64> {
+        let is_shifted = self.swing.is_some_and(|swing| swing.shift_s != 0.0);
+        let zones = self.zones.iter().enumerate();
+        let weight = |(index, zone): (usize, &DataCentre)| match is_shifted {
+            true => zone.share * self.swing(index, at),
+            false => zone.share,
+        };
+        zones.map(weight).collect()
+    }
+
     /// Returns the rate of a kind at a time, as a multiple of its mean rate.
     fn rate(&self, kind: usize, at: f64) -> f64 {
-        let swing =
-            self.swing.map_or(1.0, |swing| 1.0 + swing.part * (TAU * at / swing.period_s).sin());
+        let swing = match self.swing {
+            Some(swing) if swing.shift_s != 0.0 => {
+                let all: f64 = self.zones.iter().map(|zone| zone.share).sum();
+                self.shares(at).iter().sum::<f64>() / all
+            }
+            _ => self.swing(0, at),
+        };
         let is_on = |from: f64, span: f64| (from..from + span).contains(&at);
         let bursts = self.bursts.iter().filter(|burst| burst.kind.is_none_or(|only| only == kind));
         let bursts = bursts.filter(|burst| is_on(burst.at_s, burst.for_s)).map(|burst| burst.x);
@@ -85,8 +109,8 @@
     }
 
     fn arrival(&self, number: usize, kind: &Kind, at: f64, random: &mut ChaCha8Rng) -> Arrival {
-        let shares = self.zones.iter().map(|zone| zone.share);
-        let data_centre = WeightedIndex::new(shares).map_or(0, |zones| zones.sample(random));
+        let shares = WeightedIndex::new(self.shares(at));
+        let data_centre = shares.map_or(0, |zones| zones.sample(random));
         let caller = random.random_range(0..CALLERS_PER_DATA_CENTRE);
         let tasks = kind.tasks.draw(random).round() as u16;
         let mean_us = kind.task_ms.draw(random) * 1_000.0;
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -97,6 +97,9 @@
     pub part: f64,
     /// Length of a period in seconds.
     pub period_s: f64,
+    /// How many seconds later each data centre has its peak than the one before it.
+    #[serde(default)]
+    pub shift_s: f64,
 }
 
 /// A period with a changed rate.
@@ -217,7 +220,9 @@
             | Fault::Fails { executor, .. }
             | Fault::Slow { executor, .. }
             | Fault::Leave { executor } => *executor < executors,
-            Fault::Cordon { data_centre, .. } => *data_centre < self.zones.len(),
+            Fault::Cordon { data_centre, .. } | Fault::CutDataCentre { data_centre, .. } => {
+                *data_centre < self.zones.len()
+            }
             Fault::GiveUp => true,
         };
         if !self.faults.iter().all(|timed| exists(&timed.fault)) {
--- a/lab/src/simulation/faults.rs
+++ b/lab/src/simulation/faults.rs
@@ -38,17 +38,7 @@
                     }
                 }
             }
-            Fault::CutLink { entry, peer, ms } => {
-                let until = Time(self.now.0 + ms * 1_000);
-                self.cut_links.insert((entry.min(peer), entry.max(peer)), until);
-                if ms * 1_000 > PEER_TIMEOUT_US {
-                    for (node, other) in [(entry, peer), (peer, entry)] {
-                        let home = self.nodes[other].home;
-                        self.after(PEER_TIMEOUT_US, Step::LinkDown(node, home));
-                    }
-                    self.after(ms * 1_000 + 50_000, Step::LinkUp(entry, peer));
-                }
-            }
+            Fault::CutLink { entry, peer, ms } => self.cut_link(entry, peer, ms),
             Fault::Dark { executor, ms } => {
                 self.slots[executor].fake.unresponsive_until = Time(self.now.0 + ms * 1_000);
             }
@@ -76,6 +66,26 @@
                 self.after(ms * 1_000, Step::EndFault(fault));
             }
             Fault::GiveUp => self.give_up(),
+            Fault::CutDataCentre { data_centre, ms } => {
+                let is_inside = |node: &usize| self.plan.data_centre_of_entry(*node) == data_centre;
+                let (inside, outside): (Vec<_>, Vec<_>) =
+                    (0..self.nodes.len()).partition(is_inside);
+                for entry in inside {
+                    outside.iter().for_each(|peer| self.cut_link(entry, *peer, ms));
+                }
+            }
+        }
+    }
+
+    fn cut_link(&mut self, entry: usize, peer: usize, ms: u64) {
+        let until = Time(self.now.0 + ms * 1_000);
+        self.cut_links.insert((entry.min(peer), entry.max(peer)), until);
+        if ms * 1_000 > PEER_TIMEOUT_US {
+            for (node, other) in [(entry, peer), (peer, entry)] {
+                let home = self.nodes[other].home;
+                self.after(PEER_TIMEOUT_US, Step::LinkDown(node, home));
+            }
+            self.after(ms * 1_000 + 50_000, Step::LinkUp(entry, peer));
         }
     }
 
--- a/lab/src/simulation/nodes.rs
+++ b/lab/src/simulation/nodes.rs
@@ -125,7 +125,7 @@
         let home = self.nodes[node].home;
         let incarnation = home.incarnation;
         if self.is_busy() {
-            self.traffic.record(&action);
+            self.traffic.record(home.data_centre, &action);
         }
         match action {
             Action::Start(start) => {
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -170,6 +170,13 @@
     },
     /// All callers with open jobs leave.
     GiveUp,
+    /// The entries of a data centre and those of all others can't reach each other.
+    CutDataCentre {
+        /// Index of the data centre.
+        data_centre: usize,
+        /// Duration in milliseconds.
+        ms: u64,
+    },
 }
 
 impl Default for Plan {
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -3,7 +3,7 @@
 use crate::simulation::{Arrival, Outcome, Record, Traffic};
 use serde::Serialize;
 use site::unit::Span;
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// Worth of a late answer relative to one in time.
 const LATE_ANSWER_WORTH: f64 = 0.2;
@@ -60,6 +60,8 @@
     pub largest: BTreeMap<usize, Group>,
     /// Groups by width: jobs of at most two tasks, of up to ten, and of more.
     pub widths: BTreeMap<usize, Group>,
+    /// Groups by index of the data centre in the windows with the most refused jobs.
+    pub peak_zones: BTreeMap<usize, Group>,
     /// Groups by number of the window in which jobs were submitted.
     pub windows: BTreeMap<u64, Group>,
     /// Work of all started tasks, relative to the executors' cores over the time of the arrivals.
@@ -119,6 +121,7 @@
     pub fn new(arrivals: &[Arrival], records: &[Record]) -> Self {
         let mut tally = Tally::default();
         let works = works(arrivals);
+        let peak = peak_windows(arrivals, records);
         let mut refusals: Vec<f64> = Vec::new();
         for record in records {
             let arrival = &arrivals[record.arrival];
@@ -128,12 +131,15 @@
             // rate.
             let job = (BASE_WORTH + (1.0 - BASE_WORTH) * work).min(MAX_JOB_WORTH);
             let worth = job / of_kind.count as f64;
-            let window = arrival.at.0 / WINDOW_LENGTH.0;
+            let window = window(arrival);
             tally.all.add(record, worth);
             tally.kinds.entry(arrival.kind).or_default().add(record, worth);
             tally.zones.entry(arrival.data_centre).or_default().add(record, worth);
             tally.widths.entry(width_class(arrival.job.tasks)).or_default().add(record, worth);
             tally.windows.entry(window).or_default().add(record, worth);
+            if peak.contains(&window) {
+                tally.peak_zones.entry(arrival.data_centre).or_default().add(record, worth);
+            }
             if arrival.work() >= of_kind.large {
                 tally.largest.entry(arrival.kind).or_default().add(record, worth);
             }
@@ -178,6 +184,21 @@
     }
 }
 
+fn window(arrival: &Arrival) -> u64 {
+    arrival.at.0 / WINDOW_LENGTH.0
+}
+
+/// Returns the windows with the most refused jobs.
+fn peak_windows(arrivals: &[Arrival], records: &[Record]) -> Vec<u64> {
+    let mut refused: BTreeMap<u64, usize> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.outcome == Outcome::Refused) {
+        *refused.entry(window(&arrivals[record.arrival])).or_default() += 1;
+    }
+    let mut windows: Vec<_> = refused.into_iter().collect();
+    windows.sort_by_key(|(_, refused)| Reverse(*refused));
+    windows.into_iter().map(|(window, _)| window).take(WORST_WINDOW_COUNT).collect()
+}
+
 fn width_class(tasks: u16) -> usize {
     match tasks {
         0..=2 => 0,
