runs: no task is sent to a data centre that is silent

A cut between data centres is noticed when connections time out, after 0.8 s. Until then homes placed tasks there by the last reports; their jobs were given up or late. Log line 'silence'.

--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -119,7 +119,8 @@
         | Decision::Follow { .. }
         | Decision::Cordon { .. }
         | Decision::Speed { .. }
-        | Decision::Paused { .. } => false,
+        | Decision::Paused { .. }
+        | Decision::Silence { .. } => false,
     }
 }
 
--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -247,6 +247,15 @@
         /// How long it did not run.
         span: Span,
     },
+    /// Another data centre became silent, so that no task is sent there, or was heard again.
+    Silence {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether it is silent now.
+        silent: bool,
+        /// Time since an entry there was last heard.
+        unheard: Span,
+    },
 }
 
 fn text<S: Serializer>(value: &impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
--- a/components/runs/src/entry/mod.rs
+++ b/components/runs/src/entry/mod.rs
@@ -192,8 +192,15 @@
         }
     }
 
+    fn record_contact(&mut self, now: Time, peer: Home) {
+        self.last_contact.insert(peer, Contact::new(now));
+        if peer.data_centre != self.me.data_centre {
+            self.jobs.peers.hear(now, peer.data_centre);
+        }
+    }
+
     fn handle_message(&mut self, now: Time, from: Home, message: Message, out: &mut Vec<Action>) {
-        self.last_contact.insert(from, Contact::new(now));
+        self.record_contact(now, from);
         match message {
             Message::Place(placement) => {
                 let offset = self.clocks.entry(from).or_default();
@@ -265,7 +272,7 @@
 
     fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.connect(peer);
-        self.last_contact.insert(peer, Contact::new(now));
+        self.record_contact(now, peer);
         let report = self.report(now);
         out.push(self.report_to(peer, &report));
         let changed = self.view.connect(peer);
@@ -311,6 +318,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        out.extend(self.jobs.peers.take_silence_changes(now).into_iter().map(Action::Log));
         self.update_losses(now, out);
         self.unreconciled |= self.view.give_up_absent(now, self.options.absence_patience);
         if self.unreconciled || now.since(self.reconciled) >= RECONCILE_INTERVAL {
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -1,6 +1,7 @@
 //! The home role of an entry: the open jobs that it answers.
 
 mod admission;
+mod contact;
 mod job;
 mod peer;
 mod place;
@@ -50,7 +51,7 @@
             latest_number: 0,
             admission: Admission::new(options.admission_policy),
             retry_delays: RetryDelays::default(),
-            peers: Peers::default(),
+            peers: Peers::new(options.data_centre_silence),
         }
     }
 
--- a/components/runs/src/home/peer.rs
+++ b/components/runs/src/home/peer.rs
@@ -1,7 +1,8 @@
 //! The latest reports of connected entries.
 
-use super::admission::Totals;
+use super::{admission::Totals, contact::Contacts};
 use crate::{
+    action::Decision,
     demand::Demand,
     load::{Load, Summary},
     message::{Report, Room},
@@ -22,6 +23,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     peers: FxHashMap<Home, Peer>,
+    contacts: Contacts,
+    /// A data centre that is silent for longer may be cut off.
+    data_centre_silence: Span,
 }
 
 /// The latest report of one entry.
@@ -32,6 +36,25 @@
 }
 
 impl Peers {
+    pub(crate) fn new(data_centre_silence: Span) -> Self {
+        Self { data_centre_silence, ..Self::default() }
+    }
+
+    /// Records a sign of life of an entry in another data centre.
+    pub(crate) fn hear(&mut self, now: Time, data_centre: DataCentreId) {
+        self.contacts.record(now, data_centre);
+    }
+
+    /// The data centres that became silent or were heard again since the last call.
+    pub(crate) fn take_silence_changes(&mut self, now: Time) -> Vec<Decision> {
+        self.contacts.take_changes(now, self.data_centre_silence)
+    }
+
+    /// Whether a data centre may be cut off.
+    fn is_silent(&self, now: Time, data_centre: DataCentreId) -> bool {
+        self.contacts.is_silent(now, data_centre, self.data_centre_silence)
+    }
+
     pub(crate) fn connect(&mut self, peer: Home) {
         self.peers.entry(peer).or_default();
     }
@@ -48,11 +71,15 @@
         has_gained
     }
 
-    /// Keepers with room, and their room.
+    /// Keepers with room that are not in a data centre which may be cut off, and their room.
     pub(crate) fn with_room(&self, now: Time) -> impl Iterator<Item = (Home, &Room)> {
-        let usable =
-            move |peer: &Peer| !peer.report.room.is_empty() && now.since(peer.at) < MAX_REPORT_AGE;
-        self.peers.iter().filter(move |(_, p)| usable(p)).map(|(home, p)| (*home, &p.report.room))
+        let usable = move |home: Home, peer: &Peer| {
+            !peer.report.room.is_empty()
+                && now.since(peer.at) < MAX_REPORT_AGE
+                && !self.is_silent(now, home.data_centre)
+        };
+        let usable = self.peers.iter().filter(move |(home, peer)| usable(**home, peer));
+        usable.map(|(home, peer)| (*home, &peer.report.room))
     }
 
     /// The peer with the most room for tasks that need `cores`, among those that `is_eligible`
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -196,6 +196,10 @@
     /// Minimum time between two reports of scarce room to those keepers, or
     /// `report_interval_share` per peer where that is longer.
     pub report_interval_keepers: Span,
+    /// A data centre of which no entry was heard for this long, and for several usual pauses, may be
+    /// cut off: no task is sent there until it is heard again. Twice `report_refresh`, so that one
+    /// report may be late. Zero turns this off.
+    pub data_centre_silence: Span,
 }
 
 impl Options {
@@ -317,6 +321,7 @@
             forward_hold: Span::from_millis(15),
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
+            data_centre_silence: Span::from_millis(300),
         }
     }
 }
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -15,7 +15,7 @@
 pub use arrival::{Arrival, Outcome, Record};
 pub use layout::service;
 pub use plan::{DataCentre, Fault, Machine, Plan};
-pub use traffic::Traffic;
+pub use traffic::{PlacedFar, Traffic};
 
 use compact_str::CompactString;
 use layout::{capacity, executor, home};
@@ -165,6 +165,8 @@
     pub reports: u64,
     /// What entries did with tasks and sent to each other while jobs arrived.
     pub traffic: Traffic,
+    /// What homes sent to other data centres, in order.
+    pub placed_far: Vec<PlacedFar>,
     /// For each executor whose keeper was killed or frozen, the time until it was in use again.
     pub unkept: Vec<Span>,
     /// How often an entry found that another one holds an executor with a higher token.
@@ -224,6 +226,7 @@
             begun_work: 0,
             reports: 0,
             traffic: Traffic::default(),
+            placed_far: Vec::new(),
             unkept: Vec::new(),
             fences: 0,
         };
--- a/lab/src/simulation/nodes.rs
+++ b/lab/src/simulation/nodes.rs
@@ -1,11 +1,11 @@
 //! Starts and connects entries, passes events to them and carries out their actions.
 
-use super::{NETWORK_DELAY_US, Order, Progress, Simulation, Step};
+use super::{FIRST_JOB_US, NETWORK_DELAY_US, Order, PlacedFar, Progress, Simulation, Step};
 use rand::Rng;
 use runs::{Action, Decision, Entry, Event, Executor, Message, action::KeepChange, entry::TICK};
 use site::{
     id::Incarnation,
-    unit::{Revision, Time},
+    unit::{Revision, Span, Time},
 };
 
 impl Simulation {
@@ -121,6 +121,14 @@
         }
     }
 
+    fn record_placed_far(&mut self, decision: &Decision) {
+        if let Decision::Place { tasks, keeper, room, far: Some(_), .. } = decision {
+            let at = Span(self.now.0.saturating_sub(FIRST_JOB_US));
+            let placed = PlacedFar { at, keeper: *keeper, tasks: *tasks, room: *room };
+            self.placed_far.push(placed);
+        }
+    }
+
     pub(super) fn carry_out(&mut self, node: usize, action: Action) {
         let home = self.nodes[node].home;
         let incarnation = home.incarnation;
@@ -154,6 +162,7 @@
                     println!("{} {node} {decision:?}", self.now);
                 }
                 self.record_keeper(node, &decision);
+                self.record_placed_far(&decision);
             }
             // All entries are notified of all executors here; following them has no cost.
             Action::WatchExecutors(_) => {}
--- a/lab/src/simulation/traffic.rs
+++ b/lab/src/simulation/traffic.rs
@@ -2,7 +2,10 @@
 
 use runs::{Action, Decision, Message, message::End};
 use serde::Serialize;
-use site::{id::DataCentreId, unit::Span};
+use site::{
+    id::{DataCentreId, Home},
+    unit::Span,
+};
 
 /// Counts over all entries while jobs arrive.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -27,6 +30,19 @@
     pub ages_far: Ages,
 }
 
+/// Tasks that a home sent to a keeper in another data centre.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacedFar {
+    /// Time from the beginning of the arrivals.
+    pub at: Span,
+    /// The keeper.
+    pub keeper: Home,
+    /// Number of tasks.
+    pub tasks: usize,
+    /// How many such tasks the keeper had room for, by its latest report.
+    pub room: u32,
+}
+
 /// The sum of ages of reports.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Ages {
