--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -45,6 +45,7 @@
     cordons_since: Gauge<f64>,
     speeds: Gauge<u64>,
     unresponsive: Counter<u64>,
+    placed_far: Counter<u64>,
 }
 
 impl Metrics {
@@ -103,6 +104,10 @@
                 "peers_unresponsive",
                 "Times that a peer stopped to acknowledge what was sent to it",
             ),
+            placed_far: counter(
+                "tasks_placed_far",
+                "Tasks that this entry's jobs sent to other data centres, by data centre",
+            ),
             exporter,
         })
     }
@@ -133,6 +138,10 @@
                     .add(1, &[kind_label(kind.as_ref()), KeyValue::new("outlook", outlook)]);
             }
             Decision::LateRun { kind, .. } => self.late_runs.add(1, &[kind_label(kind.as_ref())]),
+            Decision::Place { tasks, far: Some(far), .. } => {
+                let far = KeyValue::new("data_centre", far.to_string());
+                self.placed_far.add(*tasks as u64, &[far]);
+            }
             Decision::Forward { .. } => self.forwards.add(1, &[]),
             Decision::Peer { responsive: false, .. } => self.unresponsive.add(1, &[]),
             Decision::TaskEnded { end: End::NotRun, .. } => self.returned.add(1, &[]),
