--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -1,6 +1,6 @@
 //! Decisions, for the decision log.
 
-use super::{Ending, KeepChange, Outlook, Reason, Source, StopCause};
+use super::{Ending, Flood, KeepChange, Outlook, Reason, Source, StopCause};
 use crate::{
     demand::Group,
     executor::{Kind, Refusal},
@@ -41,6 +41,9 @@
         /// The job's group among those that compete for scarce capacity.
         #[serde(serialize_with = "text")]
         group: Group,
+        /// The part of a flooding class that the job counts in; `None` if its classes don't flood.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        floods: Option<Flood>,
     },
     /// Tasks of a job were sent to a keeper.
     Place {
--- a/components/runs/src/action/reason.rs
+++ b/components/runs/src/action/reason.rs
@@ -112,3 +112,23 @@
     /// The executor responds again.
     Answers,
 }
+
+/// How the admission treats a job of a class whose arrivals have grown far beyond the usual ones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Flood {
+    /// It counts among the usual arrivals of its class.
+    Usual,
+    /// It is beyond them, and rejected before others.
+    Surplus,
+}
+
+impl Flood {
+    /// The name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Flood::Usual => "usual",
+            Flood::Surplus => "surplus",
+        }
+    }
+}
--- a/components/runs/src/home/admission/common.rs
+++ b/components/runs/src/home/admission/common.rs
@@ -7,7 +7,7 @@
 //! a job is still in time. There is one limit for all jobs, so that no kind of job is crowded out
 //! by others that can wait longer.
 
-use crate::load::Load;
+use crate::{action::Flood, load::Load};
 use site::unit::Span;
 
 /// Percentage of the smallest slack that a job may spend waiting. The rest is for wrong estimates
@@ -27,6 +27,8 @@
     pub(crate) wait: Option<Span>,
     /// Longest wait at which the job is admitted.
     pub(crate) limit: Span,
+    /// The part of a flooding class that the job counts in.
+    pub(crate) floods: Option<Flood>,
 }
 
 impl WaitEstimate {
@@ -35,6 +37,16 @@
     pub(crate) fn is_acceptable(&self) -> bool {
         self.wait.is_none_or(|wait| wait <= self.limit)
     }
+
+    /// Pending work that has precedence over the job where there is room for it. Usually pending
+    /// jobs can't use that room, or they would have been placed; but a home that knows of room may
+    /// know of it before the homes of those jobs, and surplus jobs get only what others leave.
+    pub(crate) fn precedes(&self, load: &Load) -> u64 {
+        match self.floods {
+            Some(Flood::Surplus) => load.pending,
+            Some(Flood::Usual) | None => 0,
+        }
+    }
 }
 
 /// The limit for all jobs, learnt from the most urgent recent ones.
@@ -58,7 +70,7 @@
         self.learn(estimate, slack);
         let tightest = self.tightest.unwrap_or_default();
         let limit = Span(tightest.0 * MAX_WAIT_PERCENT / 100).max(MIN_WAIT_LIMIT);
-        WaitEstimate { wait: self.expected_wait(load), limit }
+        WaitEstimate { wait: self.expected_wait(load), limit, floods: None }
     }
 
     /// The expected wait behind the pending work of a load.
--- a/components/runs/src/home/admission/mod.rs
+++ b/components/runs/src/home/admission/mod.rs
@@ -2,17 +2,20 @@
 
 mod common;
 mod forecast;
+mod shares;
 mod window;
 
 pub(super) use common::WaitEstimate;
 
 use crate::{
-    Job,
+    Job, Options,
+    action::Flood,
     demand::{Demand, Group},
     load::Load,
     options::Policy,
 };
 use common::CommonLimit;
+use shares::Shares;
 use site::unit::{Span, Time};
 use window::Window;
 
@@ -33,40 +36,59 @@
     policy: Policy,
     common: CommonLimit,
     window: Window,
+    shares: Shares,
+    limit_ms: u64,
 }
 
 impl Admission {
-    pub(super) fn new(policy: Policy) -> Self {
-        Self { policy, common: CommonLimit::default(), window: Window::default() }
+    pub(super) fn new(options: &Options) -> Self {
+        Self {
+            policy: options.admission_policy,
+            common: CommonLimit::default(),
+            window: Window::default(),
+            shares: Shares::new(options.flood_percent, options.flood_way),
+            limit_ms: options.flood_limit_ms,
+        }
     }
 
     /// Estimates the wait of a job with this slack, and updates the averages. `totals` sums all
     /// known entries.
     pub(super) fn estimate_wait(
         &mut self,
+        now: Time,
         job: &Job,
         slack: Span,
         totals: &Totals,
     ) -> WaitEstimate {
         let Totals { load, demand } = totals;
-        let common = self.common.estimate_wait(job.estimate, slack, load);
         let group = Group::of(job);
+        self.shares.observe(now, demand);
+        let floods = self.shares.classify(group);
+        let common = self.common.estimate_wait(job.estimate, slack, load);
+        let common = WaitEstimate { floods, ..common };
+        if floods == Some(Flood::Surplus) && self.shares.is_scarce(now) {
+            return WaitEstimate { limit: Span::from_millis(self.limit_ms), ..common };
+        }
+        let regular = self.shares.without_surplus(demand);
         let limit = match self.policy {
             // The deadline is missed already, as for jobs that are submitted again: they are served
             // last.
             _ if slack == Span::ZERO => return common,
             Policy::Common => return common,
             Policy::Forecast if !forecast::is_comparable(demand) => return common,
-            Policy::Forecast => forecast::limit(group, slack, common.limit, demand),
+            Policy::Forecast => forecast::limit(group, slack, common.limit, &regular),
         };
         let ahead = load.pending - demand.behind(slack, load);
         let wait = self.common.expected_wait(&Load { pending: ahead, ..*load });
-        WaitEstimate { wait, limit: limit.max(common::MIN_WAIT_LIMIT) }
+        WaitEstimate { wait, limit: limit.max(common::MIN_WAIT_LIMIT), floods }
     }
 
     /// Rejected jobs of a job's group for each thousand admitted ones, as far as retries depend on
     /// it.
     pub(super) fn refusal_ratio(&self, job: &Job, demand: &Demand) -> u64 {
+        if let Some(ratio) = self.shares.surplus_ratio(Group::of(job)) {
+            return ratio;
+        }
         match self.policy {
             Policy::Common => ALL_REFUSED,
             Policy::Forecast if !forecast::is_comparable(demand) => ALL_REFUSED,
@@ -80,8 +102,12 @@
     }
 
     /// Records the rejection of a job for lack of room, on arrival or later.
-    pub(super) fn refused(&mut self, now: Time, job: &Job) {
-        self.window.refused(now, job);
+    /// Surplus jobs are left out: the limits of other groups must not shrink for their sake.
+    pub(super) fn refused(&mut self, now: Time, job: &Job, floods: Option<Flood>) {
+        match floods {
+            Some(Flood::Surplus) => self.shares.rejected_surplus(now),
+            _ => self.window.refused(now, job),
+        }
     }
 
     /// The jobs of the last second.
--- a/components/runs/src/home/job.rs
+++ b/components/runs/src/home/job.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Options,
-    action::Reason,
+    action::{Flood, Reason},
     deadline::Deadline,
     job::{self, Job, Key},
     speed::Factor,
@@ -38,6 +38,8 @@
     pub(crate) ran: bool,
     /// When the first task was sent to a keeper.
     pub(crate) placed_at: Option<Time>,
+    /// The part of a flooding class that it counts in.
+    pub(crate) floods: Option<Flood>,
 }
 
 /// A task of an open job.
@@ -101,7 +103,16 @@
             avoid: Vec::new(),
         };
         let tasks = (0..job.tasks).map(|_| task()).collect();
-        Self { key, job: Arc::new(job), waiter, arrived: now, tasks, ran: false, placed_at: None }
+        Self {
+            key,
+            job: Arc::new(job),
+            waiter,
+            arrived: now,
+            tasks,
+            ran: false,
+            placed_at: None,
+            floods: None,
+        }
     }
 
     /// Positions of the tasks that may be sent now.
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -48,7 +48,7 @@
             open: FxHashMap::default(),
             waiters: FxHashMap::default(),
             latest_number: 0,
-            admission: Admission::new(options.admission_policy),
+            admission: Admission::new(&options),
             retry_delays: RetryDelays::default(),
             peers: Peers::default(),
         }
@@ -79,8 +79,8 @@
         let own_totals = Totals { load: own_load, demand: self.demand(now) };
         let totals = self.peers.totals(now, self.me.data_centre, own_totals);
         let slack = job.start_by(self.options.caution_percent).since(now);
-        let estimate = self.admission.estimate_wait(&job, slack, &totals);
-        let has_room = self.options.fill && self.has_room(now, &own.room, &job);
+        let estimate = self.admission.estimate_wait(now, &job, slack, &totals);
+        let has_room = self.options.fill && self.has_room(now, &own.room, &job, estimate.precedes(&totals.load));
         let admitted = !self.options.admission || has_room || estimate.is_acceptable();
         out.push(Action::Log(Decision::Admit {
             job: job.name.clone(),
@@ -93,9 +93,13 @@
             foreseen: estimate.wait,
             limit: estimate.limit,
             group: Group::of(&job),
+            floods: estimate.floods,
         }));
         self.waiters.insert(waiter, key.number);
-        self.open.insert(key.number, OpenJob::new(now, key, waiter, job));
+        self.open.insert(
+            key.number,
+            OpenJob { floods: estimate.floods, ..OpenJob::new(now, key, waiter, job) },
+        );
         let rejection = match (own.is_cordoned, admitted) {
             (true, _) => Reason::Cordoned,
             (false, false) => Reason::Overload,
@@ -120,12 +124,13 @@
         }
     }
 
-    /// Whether all tasks of a job can be started at once. Pending jobs can't use that room, or they
-    /// would have been placed.
-    fn has_room(&self, now: Time, own: &Room, job: &Job) -> bool {
+    /// Whether all tasks of a job can be started at once, besides pending work in thousandths of a
+    /// core.
+    fn has_room(&self, now: Time, own: &Room, job: &Job, pending: u64) -> bool {
         let rooms = self.peers.with_room(now).map(|(_, room)| room).chain([own]);
         let room: u32 = rooms.map(|room| room.count(job.needs.cores.0)).sum();
-        room >= u32::from(job.tasks)
+        let cores = job.needs.cores.0;
+        u64::from(room) >= u64::from(job.tasks) + pending / u64::from(cores.max(1))
     }
 
     /// The pending work here.
@@ -371,7 +376,7 @@
         if why != Reason::Overload && !(why == Reason::NoRoomInTime && had_room) {
             return admission::ALL_REFUSED;
         }
-        self.admission.refused(now, &open.job);
+        self.admission.refused(now, &open.job, open.floods);
         let own = Totals { demand: self.admission.demand(now), ..Totals::default() };
         let demand = self.peers.totals(now, self.me.data_centre, own).demand;
         self.admission.refusal_ratio(&open.job, &demand)
--- a/lab/src/cmd/compare.rs
+++ b/lab/src/cmd/compare.rs
@@ -37,6 +37,7 @@
         pattern.load *= options.load;
         let second = cmd::with_options(&pattern, &options.set)?;
         let offered = pattern.offered() * 100.0;
+        let has_bursts = !pattern.bursts.is_empty();
         let mut played = trial::play_all(&[pattern, second], 0..options.seeds).into_iter();
         let (Some(first), Some(second)) = (played.next(), played.next()) else { continue };
         println!("{} ({offered:.0}% offered)", path.display());
@@ -50,6 +51,7 @@
         figure("worst kind", Tally::worst_kind);
         figure("worst zone", Tally::worst_data_centre);
         figure("late", |tally| tally.all.late_share());
+        figure("retries", |tally| tally.retries);
         figure("returned", |tally| tally.traffic.returned_share());
         figure("messages", |tally| tally.traffic.messages as f64);
         figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
@@ -60,6 +62,9 @@
             println!("  refused by {name}: {} then {}", shares(&first), shares(&second));
         };
         refused("kind", |tally| &tally.kinds);
+        if has_bursts {
+            refused("kind in bursts", |tally| &tally.bursts);
+        }
         refused("width", |tally| &tally.widths);
         refused("data centre", |tally| &tally.zones);
     }
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -51,6 +51,10 @@
     figure("unkept p50 ms", |tally| tally.unkept_ms.0);
     figure("unkept max ms", |tally| tally.unkept_ms.1);
     figure("fences", |tally| tally.fences as f64);
+    if pattern.retries > 0 {
+        figure("retries per job", |tally| tally.retries);
+        println!("submissions per second: {}", submissions(&tallies));
+    }
     println!("{:24} jobs in-time late refused had-room given-up failed  share", "");
     let name = |kind: &usize| pattern.kinds[*kind].name.clone();
     print_groups(&tallies, |tally| &tally.kinds, name);
@@ -59,6 +63,16 @@
     Ok(())
 }
 
+/// Returns the mean number of jobs submitted in each second, retries included.
+fn submissions(tallies: &[Tally]) -> String {
+    let seconds = tallies.iter().map(|tally| tally.submissions.len()).max().unwrap_or_default();
+    let mean = |second: usize| {
+        let count = |tally: &Tally| tally.submissions.get(second).map_or(0.0, |n| *n as f64);
+        format!("{:.0}", trial::mean(tallies, count))
+    };
+    (0..seconds).map(mean).collect::<Vec<_>>().join(" ")
+}
+
 fn print_groups(
     tallies: &[Tally],
     groups: impl Fn(&Tally) -> &BTreeMap<usize, Group>,
--- a/lab/src/pattern/draw.rs
+++ b/lab/src/pattern/draw.rs
@@ -35,6 +35,8 @@
             lost_orders: self.lost_orders,
             faults: self.faults.iter().map(|timed| (timed.at_ms, timed.fault)).collect(),
             options: self.options,
+            retries: self.retries,
+            retry_after_s: self.retry_after_s,
             ..Plan::default()
         }
     }
@@ -67,13 +69,16 @@
         arrivals
     }
 
+    fn is_in_burst(&self, at: f64) -> bool {
+        self.bursts.iter().any(|burst| burst.contains(at))
+    }
+
     /// Returns the rate of a kind at a time, as a multiple of its mean rate.
     fn rate(&self, kind: usize, at: f64) -> f64 {
         let swing =
             self.swing.map_or(1.0, |swing| 1.0 + swing.part * (TAU * at / swing.period_s).sin());
-        let is_on = |from: f64, span: f64| (from..from + span).contains(&at);
         let bursts = self.bursts.iter().filter(|burst| burst.kind.is_none_or(|only| only == kind));
-        let bursts = bursts.filter(|burst| is_on(burst.at_s, burst.for_s)).map(|burst| burst.x);
+        let bursts = bursts.filter(|burst| burst.contains(at)).map(|burst| burst.x);
         swing * bursts.product::<f64>()
     }
 
@@ -135,6 +140,7 @@
             job,
             lengths,
             objective: self.objective(longest),
+            in_burst: self.is_in_burst(at),
         }
     }
 
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -51,6 +51,13 @@
     /// Options of the entries.
     #[serde(default)]
     pub options: Options,
+    /// How often a caller submits a refused job again.
+    #[serde(default)]
+    pub retries: u32,
+    /// Seconds that callers wait before they submit a refused job again; `None` follows
+    /// `Retry-After`.
+    #[serde(default)]
+    pub retry_after_s: Option<u64>,
 }
 
 /// Jobs of one kind.
@@ -114,6 +121,12 @@
     pub kind: Option<usize>,
 }
 
+impl Burst {
+    fn contains(&self, at: f64) -> bool {
+        (self.at_s..self.at_s + self.for_s).contains(&at)
+    }
+}
+
 /// A fault with the time at which it begins.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Timed {
--- a/lab/src/simulation/arrival.rs
+++ b/lab/src/simulation/arrival.rs
@@ -20,6 +20,8 @@
     pub lengths: Vec<Span>,
     /// Time after which its answer is late.
     pub objective: Span,
+    /// Whether it arrives during a burst of any kind.
+    pub in_burst: bool,
 }
 
 impl Arrival {
@@ -60,6 +62,8 @@
     pub after: Span,
     /// Whether it was refused while executors had room for all its tasks.
     pub had_room: bool,
+    /// How often it was refused and submitted again.
+    pub retries: u32,
 }
 
 /// Multiple of its objective after which an answer has no use.
--- a/lab/src/simulation/callers.rs
+++ b/lab/src/simulation/callers.rs
@@ -2,8 +2,8 @@
 //! connection.
 
 use super::{
-    ANSWER_TOLERANCE_US, CALLER_DELAY_US, Caller, FIRST_JOB_US, Outcome, RESEND_DELAY_US, Record,
-    Simulation, Step, Work,
+    ANSWER_TOLERANCE_US, Arrival, CALLER_DELAY_US, Caller, FIRST_JOB_US, Outcome, RESEND_DELAY_US,
+    Record, SECOND_US, Simulation, Step, Work,
     arrival::job_at,
     layout::{needs, service},
 };
@@ -25,8 +25,13 @@
         for (number, arrival) in arrivals.iter().enumerate() {
             let work = Work { lengths: arrival.lengths.clone(), needs: arrival.job.needs };
             self.works.insert(arrival.job.name.clone(), work);
-            let (after, outcome) = (Span::ZERO, Outcome::Open);
-            self.records.push(Record { arrival: number, outcome, after, had_room: false });
+            self.records.push(Record {
+                arrival: number,
+                outcome: Outcome::Open,
+                after: Span::ZERO,
+                had_room: false,
+                retries: 0,
+            });
             let at = Time(FIRST_JOB_US + arrival.at.0 + CALLER_DELAY_US);
             self.at(at, Step::Arrive(number));
         }
@@ -34,9 +39,15 @@
 
     pub(super) fn arrive(&mut self, number: usize) {
         let arrival = self.plan.arrivals.as_ref().map(|arrivals| arrivals[number].clone());
-        if let Some(arrival) = arrival {
-            self.submit(job_at(&arrival.job, self.now), Some(number));
+        let Some(Arrival { mut job, lengths, .. }) = arrival else { return };
+        let retries = self.records[number].retries;
+        if retries > 0 {
+            job.name = format!("{}-{retries}", job.name).into();
+            self.works.insert(job.name.clone(), Work { lengths, needs: job.needs });
         }
+        let second = (self.now.0 - FIRST_JOB_US) / SECOND_US;
+        *self.submissions.entry(second).or_default() += 1;
+        self.submit(job_at(&job, self.now), Some(number));
     }
 
     /// Returns the entries that a job may be submitted to: that of its caller, in the caller's data
@@ -114,7 +125,7 @@
         assert!(!caller.answered, "a second answer");
         caller.answered = true;
         let frozen = self.nodes[caller.node].frozen_until.0 + 1_000_000 > self.now.0;
-        let job = caller.job.clone();
+        let (job, caller_arrival) = (caller.job.clone(), caller.arrival);
         assert!(
             frozen || self.now.0 <= job.give_up.0 + ANSWER_TOLERANCE_US,
             "{} is answered too late: {} after {}",
@@ -139,7 +150,7 @@
                     assert!(self.done.contains(&key), "{key:?} is complete and has not run");
                 }
             }
-            Answer::Rejected { .. } => {
+            Answer::Rejected { retry_after } => {
                 // A caller that lost its connection knows that the job may have run.
                 if self.broken.contains(job.name.as_str()) {
                     return;
@@ -147,6 +158,7 @@
                 let starts = self.started.get(job.name.as_str());
                 assert!(starts.is_none(), "{} is refused after {starts:?} starts", job.name);
                 self.refused.insert(job.name.to_string());
+                self.retry(caller_arrival, retry_after);
             }
             Answer::GivenUp | Answer::Failed => {}
         }
@@ -167,7 +179,21 @@
         let needs = arrival.job.needs;
         let had_room =
             outcome == Outcome::Refused && self.room(&needs) >= wanted + self.pending_tasks();
-        self.records[number] = Record { arrival: number, outcome, after, had_room };
+        let retries = self.records[number].retries;
+        self.records[number] = Record { arrival: number, outcome, after, had_room, retries };
+    }
+
+    /// Submits a refused job again, as a new one, after the delay that its caller got in whole
+    /// seconds, unless no jobs arrive any more then. The result counts from the first submission.
+    fn retry(&mut self, arrival: Option<usize>, retry_after: Span) {
+        let Some(number) = arrival else { return };
+        let seconds = self.plan.retry_after_s.unwrap_or(retry_after.0.div_ceil(SECOND_US));
+        let at = Time(self.now.0 + seconds * SECOND_US + 2 * CALLER_DELAY_US);
+        if self.records[number].retries >= self.plan.retries || at.0 >= self.end_us() {
+            return;
+        }
+        self.records[number].retries += 1;
+        self.at(at, Step::Arrive(number));
     }
 
     /// Returns the number of tasks of open jobs that have not started.
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -50,6 +50,8 @@
 const RESEND_DELAY_US: u64 = 1_300_000;
 /// How long a registration remains after the end of its process.
 const REGISTRATION_TTL_US: u64 = 2_000_000;
+/// Microseconds of a second: the unit of `Retry-After`.
+const SECOND_US: u64 = 1_000_000;
 /// Time of the first job.
 const FIRST_JOB_US: u64 = 3_000_000;
 /// How much later than the job's give-up time an answer may be.
@@ -169,6 +171,8 @@
     pub unkept: Vec<Span>,
     /// How often an entry found that another one holds an executor with a higher token.
     pub fences: usize,
+    /// Number of jobs of arrivals submitted in each second since the first, retries included.
+    pub submissions: BTreeMap<u64, u64>,
 }
 
 impl Simulation {
@@ -226,6 +230,7 @@
             traffic: Traffic::default(),
             unkept: Vec::new(),
             fences: 0,
+            submissions: BTreeMap::new(),
         };
         for node in 0..simulation.nodes.len() {
             simulation.start_entry(node);
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -43,6 +43,10 @@
     pub options: Options,
     /// Whether the decision log of the entries is printed.
     pub trace: bool,
+    /// How often a caller submits a refused job again.
+    pub retries: u32,
+    /// Seconds that callers wait before that; `None` follows `Retry-After`.
+    pub retry_after_s: Option<u64>,
 }
 
 /// The entries and executors of a data centre.
@@ -188,6 +192,8 @@
             faults: Vec::new(),
             options: Options::default(),
             trace: false,
+            retries: 0,
+            retry_after_s: None,
         }
     }
 }
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -73,6 +73,12 @@
     pub unkept_ms: (f64, f64),
     /// How often an entry was fenced.
     pub fences: usize,
+    /// Groups of the jobs that arrive during a burst, by index of the kind.
+    pub bursts: BTreeMap<usize, Group>,
+    /// Number of retries after refusals, per job.
+    pub retries: f64,
+    /// Jobs submitted in each second, retries included.
+    pub submissions: Vec<u64>,
 }
 
 impl Group {
@@ -134,6 +140,9 @@
             tally.zones.entry(arrival.data_centre).or_default().add(record, worth);
             tally.widths.entry(width_class(arrival.job.tasks)).or_default().add(record, worth);
             tally.windows.entry(window).or_default().add(record, worth);
+            if arrival.in_burst {
+                tally.bursts.entry(arrival.kind).or_default().add(record, worth);
+            }
             if arrival.work() >= of_kind.large {
                 tally.largest.entry(arrival.kind).or_default().add(record, worth);
             }
@@ -141,6 +150,8 @@
                 refusals.push(record.after.0 as f64 / 1_000.0);
             }
         }
+        let retries: u32 = records.iter().map(|record| record.retries).sum();
+        tally.retries = f64::from(retries) / records.len().max(1) as f64;
         refusals.sort_by(f64::total_cmp);
         let at = |part: f64| {
             let index = (refusals.len() as f64 * part) as usize;
--- a/lab/src/trial.rs
+++ b/lab/src/trial.rs
@@ -20,7 +20,9 @@
     let unkept_ms = (at(unkept.len() / 2), at(unkept.len().saturating_sub(1)));
     let fences = simulation.fences;
     let traffic = simulation.traffic;
-    Tally { used, traffic, unkept_ms, fences, ..Tally::new(&arrivals, &simulation.records) }
+    let submissions = simulation.submissions.values().copied().collect();
+    let tally = Tally::new(&arrivals, &simulation.records);
+    Tally { used, traffic, unkept_ms, fences, submissions, ..tally }
 }
 
 /// Simulates each pattern with each seed in parallel, with a progress bar; returns one row per
