--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -44,6 +44,7 @@
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
     speeds: Gauge<u64>,
+    floods: Counter<u64>,
 }
 
 impl Metrics {
@@ -98,6 +99,10 @@
                 .u64_gauge("executor_speed_percent")
                 .with_description("Run time on executors of a kind, in percent of the estimate")
                 .build(),
+            floods: counter(
+                "admission_floods",
+                "Jobs of flooding classes, by length, number of tasks and part of the flood",
+            ),
             exporter,
         })
     }
@@ -133,8 +138,12 @@
             Decision::Keep { unkept: Some(unkept), .. } => {
                 self.unkept.record(unkept.0 as f64 / 1e6, &[]);
             }
-            Decision::Admit { limit, group, .. } => {
+            Decision::Admit { limit, group, floods, .. } => {
                 self.admission_limit.record(limit.0 as f64 / 1e6, &labels(*group));
+                if let Some(part) = floods {
+                    let [length, width] = labels(*group);
+                    self.floods.add(1, &[length, width, KeyValue::new("part", part.as_str())]);
+                }
             }
             Decision::Answer { answer: "refused", group, .. } => {
                 self.refused.add(1, &labels(*group));
--- a/components/runs/src/home/admission/mod.rs
+++ b/components/runs/src/home/admission/mod.rs
@@ -37,7 +37,6 @@
     common: CommonLimit,
     window: Window,
     shares: Shares,
-    limit_ms: u64,
 }
 
 impl Admission {
@@ -46,8 +45,7 @@
             policy: options.admission_policy,
             common: CommonLimit::default(),
             window: Window::default(),
-            shares: Shares::new(options.flood_percent, options.flood_way),
-            limit_ms: options.flood_limit_ms,
+            shares: Shares::new(options.flood_percent),
         }
     }
 
@@ -67,7 +65,7 @@
         let common = self.common.estimate_wait(job.estimate, slack, load);
         let common = WaitEstimate { floods, ..common };
         if floods == Some(Flood::Surplus) && self.shares.is_scarce(now) {
-            return WaitEstimate { limit: Span::from_millis(self.limit_ms), ..common };
+            return WaitEstimate { limit: common::MIN_WAIT_LIMIT, ..common };
         }
         let regular = self.shares.without_surplus(demand);
         let limit = match self.policy {
@@ -86,14 +84,13 @@
     /// Rejected jobs of a job's group for each thousand admitted ones, as far as retries depend on
     /// it.
     pub(super) fn refusal_ratio(&self, job: &Job, demand: &Demand) -> u64 {
-        if let Some(ratio) = self.shares.surplus_ratio(Group::of(job)) {
-            return ratio;
-        }
-        match self.policy {
+        let group = Group::of(job);
+        let of_flood = self.shares.refusal_ratio(group, demand);
+        of_flood.unwrap_or_else(|| match self.policy {
             Policy::Common => ALL_REFUSED,
             Policy::Forecast if !forecast::is_comparable(demand) => ALL_REFUSED,
-            Policy::Forecast => forecast::refusal_ratio(Group::of(job), demand),
-        }
+            Policy::Forecast => forecast::refusal_ratio(group, demand),
+        })
     }
 
     /// Records the arrival of a job.
--- a/components/runs/src/home/admission/shares.rs
+++ b/components/runs/src/home/admission/shares.rs
@@ -44,56 +44,36 @@
 pub(super) struct Shares {
     /// A class floods if its rate is above this percentage of the usual one; 0 for never.
     percent: u64,
-    way: u8,
     lengths: [Class; 3],
     widths: [Class; 3],
-    /// When the first job was seen.
+    /// When the first job arrived here.
     began: Option<Time>,
-    /// Time of the latest sample.
+    /// Time of the latest sample of the usual rates.
     sampled: Time,
-    /// Time that the samples stand for.
+    /// Time that the samples stand for, up to `MEMORY`.
     observed: Span,
     /// When a job was last rejected, here or elsewhere.
     rejected: Option<Time>,
-    /// Jobs in thousandths that are admitted as usual before the next surplus one.
+    /// Thousandths of a job that are due as usual ones of a flooding group: each job adds its part,
+    /// so that the right share is usual whatever the jobs' order and names.
     credit: u64,
 }
 
 /// The arrivals of one class.
 #[derive(Clone, Copy, Debug, Default)]
 struct Class {
-    /// Usual jobs per second, in thousandths.
+    /// Usual jobs per second, in thousandths. Unchanged while the class floods.
     usual: u64,
     /// Jobs of the last second.
     asked: u64,
-    /// Trial.
-    allowed: u64,
     /// Since when it floods.
     flooding: Option<Time>,
 }
 
-impl Class {
-    /// Usual jobs per second.
-    fn usual(&self) -> u64 {
-        (self.usual / MILLI).max(MIN_USUAL)
-    }
-
-    /// Jobs of the last second in percent of the usual ones.
-    fn growth(&self) -> u64 {
-        self.asked * 100 / self.usual()
-    }
-
-    /// Jobs that are not surplus, in thousandths of the arriving ones.
-    fn kept(&self) -> u64 {
-        self.flooding.map_or(MILLI, |_| (self.allowed * MILLI / self.asked.max(1)).min(MILLI))
-    }
-}
-
 impl Shares {
-    pub(super) fn new(percent: u64, way: u8) -> Self {
+    pub(super) fn new(percent: u64) -> Self {
         Self {
             percent,
-            way,
             lengths: [Class::default(); 3],
             widths: [Class::default(); 3],
             began: None,
@@ -104,7 +84,7 @@
         }
     }
 
-    /// Updates the usual rates with the site's jobs of the last second.
+    /// Updates the usual rates, and which classes flood, with the site's jobs of the last second.
     pub(super) fn observe(&mut self, now: Time, demand: &Demand) {
         if self.percent == 0 {
             return;
@@ -112,67 +92,45 @@
         if demand.lengths.iter().any(|count| count.refused > 0) {
             self.rejected = Some(now);
         }
-        // The first second is not counted whole.
-        let began = *self.began.get_or_insert(now);
-        let stands_for = match now.since(self.sampled.max(began + SAMPLE)) {
-            pause if pause < SAMPLE_INTERVAL => Span::ZERO,
-            pause => pause.min(SAMPLE),
-        };
-        if stands_for > Span::ZERO {
-            self.sampled = now;
-            self.observed = (self.observed + stands_for).min(MEMORY);
-        }
-        let is_known = self.observed >= MIN_OBSERVED;
-        let observed = self.observed.0.max(1);
+        let stands_for = self.take_sample(now);
         let counts = demand.lengths.iter().chain(&demand.widths);
         for (class, count) in self.lengths.iter_mut().chain(&mut self.widths).zip(counts) {
             class.asked = u64::from(count.asked);
-            let ended = class.flooding.is_some_and(|since| now.since(since) >= MEMORY);
-            if ended {
-                class.usual = class.asked * MILLI;
-                class.flooding = None;
-            } else if class.flooding.is_none() {
-                let (old, new) = (class.usual, class.asked * MILLI);
-                class.usual = (old * (observed - stands_for.0) + new * stands_for.0) / observed;
-            }
+            class.learn(now, stands_for, self.observed);
         }
-        let least = self.least_growth();
-        let needed = self.percent.max(least * LEAD_PERCENT / 100);
+        let needed = self.percent.max(self.least_growth() * LEAD_PERCENT / 100);
+        let is_known = self.observed >= MIN_OBSERVED;
         for class in self.lengths.iter_mut().chain(&mut self.widths) {
             let floods = is_known && class.growth() > needed;
             class.flooding = floods.then(|| class.flooding.unwrap_or(now));
         }
-        let levels = [level(&self.lengths), level(&self.widths)];
-        let (percent, way) = (self.percent, self.way);
-        for (classes, level) in [&mut self.lengths, &mut self.widths].into_iter().zip(levels) {
-            for class in classes {
-                class.allowed = match way {
-                    0 => class.usual() * percent / 100,
-                    1 => class.usual(),
-                    2 => class.usual() * (2 * percent).saturating_sub(class.growth()).max(100) / 100,
-                    _ => level.max(MIN_USUAL),
-                };
-            }
+    }
+
+    /// The time that a sample taken now stands for; zero if none is due.
+    fn take_sample(&mut self, now: Time) -> Span {
+        // The counts of the first second are not those of a whole one.
+        let whole_from = *self.began.get_or_insert(now) + SAMPLE;
+        let pause = now.since(self.sampled.max(whole_from));
+        if pause < SAMPLE_INTERVAL {
+            return Span::ZERO;
         }
+        let stands_for = pause.min(SAMPLE);
+        self.sampled = now;
+        self.observed = (self.observed + stands_for).min(MEMORY);
+        stands_for
     }
 
-    /// The growth of the class that grew least.
+    /// The growth of the class that grew least, in percent.
     fn least_growth(&self) -> u64 {
         let classes = self.lengths.iter().chain(&self.widths);
         let compared = classes.filter(|class| class.usual >= MIN_COMPARED * MILLI);
         compared.map(|class| class.asked * 100 * MILLI / class.usual).min().unwrap_or_default()
     }
 
-    /// Jobs of a group that are not surplus, in thousandths; `None` if it does not flood.
-    fn kept(&self, group: Group) -> Option<u64> {
-        let classes = [self.lengths[group.length as usize], self.widths[group.width as usize]];
-        let flooding = classes.iter().filter(|class| class.flooding.is_some());
-        flooding.map(|class| class.kept()).min()
-    }
-
     /// Decides whether an arriving job is surplus; `None` if its group does not flood.
     pub(super) fn classify(&mut self, group: Group) -> Option<Flood> {
-        self.credit += self.kept(group)?;
+        let classes = [&self.lengths[group.length as usize], &self.widths[group.width as usize]];
+        self.credit += classes.into_iter().filter_map(Class::usual_part).min()?;
         match self.credit.checked_sub(MILLI) {
             Some(rest) => {
                 self.credit = rest;
@@ -192,23 +150,29 @@
         self.rejected = Some(now);
     }
 
-    /// Surplus jobs of a group for each thousand others.
-    pub(super) fn surplus_ratio(&self, group: Group) -> Option<u64> {
-        self.kept(group).map(|kept| (MILLI - kept) * MILLI / kept.max(1))
+    /// Rejected jobs of a flooding group for each thousand admitted ones, with its surplus; `None`
+    /// if it does not flood.
+    pub(super) fn refusal_ratio(&self, group: Group, demand: &Demand) -> Option<u64> {
+        let ratio = |class: &Class, count: Count| {
+            class.flooding?;
+            let refused = class.asked.saturating_sub(class.usual()) + u64::from(count.refused);
+            Some(refused * MILLI / class.asked.saturating_sub(refused).max(1))
+        };
+        let (length, width) = (group.length as usize, group.width as usize);
+        ratio(&self.lengths[length], demand.lengths[length])
+            .max(ratio(&self.widths[width], demand.widths[width]))
     }
 
-    /// The demand without surplus jobs, for comparing the rejection rates of groups.
+    /// The demand without surplus jobs, for comparing the rejection rates of groups. While a class
+    /// floods, what others have grown by counts as its surplus too: jobs of one kind are in several
+    /// classes.
     pub(super) fn without_surplus(&self, demand: &Demand) -> Demand {
-        let classes = self.lengths.iter().chain(&self.widths);
-        if classes.filter(|class| class.flooding.is_some()).count() == 0 {
+        if !self.lengths.iter().chain(&self.widths).any(|class| class.flooding.is_some()) {
             return *demand;
         }
         let regular = |class: &Class, count: Count| {
-            let asked = match class.flooding {
-                Some(_) => class.allowed.min(class.asked),
-                None => (class.usual / MILLI).min(class.asked),
-            };
-            Count { asked: asked as u32, ..count }
+            let usual = class.flooding.map_or(class.usual / MILLI, |_| class.usual());
+            Count { asked: class.asked.min(usual) as u32, ..count }
         };
         Demand {
             lengths: array::from_fn(|n| regular(&self.lengths[n], demand.lengths[n])),
@@ -218,17 +182,32 @@
     }
 }
 
-/// Trial.
-fn level(classes: &[Class; 3]) -> u64 {
-    let mut left: u64 = classes.iter().map(|class| class.usual / MILLI).sum();
-    let mut asked: Vec<u64> = classes.iter().map(|class| class.asked).collect();
-    asked.sort_unstable();
-    for (index, asked) in asked.iter().enumerate() {
-        let equal = left / (3 - index as u64);
-        if *asked >= equal {
-            return equal;
+impl Class {
+    /// Takes the jobs of the last second into the usual rate, as a mean over `observed`.
+    fn learn(&mut self, now: Time, stands_for: Span, observed: Span) {
+        let asked = self.asked * MILLI;
+        match self.flooding {
+            Some(since) if now.since(since) < MEMORY => {}
+            Some(_) => self.usual = asked,
+            None => {
+                let sum = self.usual * (observed - stands_for).0 + asked * stands_for.0;
+                self.usual = sum / observed.0.max(1);
+            }
         }
-        left -= asked;
     }
-    u64::MAX
+
+    /// Usual jobs per second, at least those below which no class floods.
+    fn usual(&self) -> u64 {
+        (self.usual / MILLI).max(MIN_USUAL)
+    }
+
+    /// Jobs of the last second in percent of the usual ones.
+    fn growth(&self) -> u64 {
+        self.asked * 100 / self.usual()
+    }
+
+    /// The usual jobs in thousandths of the arriving ones; `None` if it does not flood.
+    fn usual_part(&self) -> Option<u64> {
+        self.flooding.map(|_| (self.usual() * MILLI / self.asked.max(1)).min(MILLI))
+    }
 }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -80,7 +80,8 @@
         let totals = self.peers.totals(now, self.me.data_centre, own_totals);
         let slack = job.start_by(self.options.caution_percent).since(now);
         let estimate = self.admission.estimate_wait(now, &job, slack, &totals);
-        let has_room = self.options.fill && self.has_room(now, &own.room, &job, estimate.precedes(&totals.load));
+        let has_room = self.options.fill
+            && self.has_room(now, &own.room, &job, estimate.precedes(&totals.load));
         let admitted = !self.options.admission || has_room || estimate.is_acceptable();
         out.push(Action::Log(Decision::Admit {
             job: job.name.clone(),
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -199,10 +199,6 @@
     /// A class of jobs floods if its arrivals exceed this percentage of the usual ones: those
     /// beyond the usual ones are rejected first. 0 disables it.
     pub flood_percent: u64,
-    /// Trial.
-    pub flood_way: u8,
-    /// Trial.
-    pub flood_limit_ms: u64,
 }
 
 impl Options {
@@ -325,8 +321,6 @@
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
             flood_percent: 200,
-            flood_way: 1,
-            flood_limit_ms: 10,
         }
     }
 }
