--- a/lab/tests/pattern.rs
+++ b/lab/tests/pattern.rs
@@ -1,6 +1,10 @@
 //! Tests the validation of patterns and the arrivals that a seed determines.
 
-use lab::pattern::{Pattern, PatternError};
+use lab::{
+    pattern::{Pattern, PatternError},
+    tally::Tally,
+    trial,
+};
 use serde_json::{Value, json};
 use std::{fs, path::PathBuf};
 
@@ -71,3 +75,24 @@
     let ratio = task_s / capacity / pattern.offered();
     assert!((0.85..1.15).contains(&ratio), "{ratio}");
 }
+
+/// Guards against refused callers that come back at once, all together or more often than they may,
+/// and against results that are counted from a later submission.
+#[test]
+fn refused_callers_submit_again_after_whole_seconds() {
+    let mut pattern: Pattern = serde_json::from_value(busy()).expect("a pattern");
+    (pattern.seconds, pattern.load) = (6, pattern.load * 2.0);
+    let once = trial::play(&pattern, 0);
+    pattern.retries = 2;
+    let again = trial::play(&pattern, 0);
+    assert_eq!(once.retries, 0.0);
+    assert!(again.retries > 0.1 && again.retries < 2.0, "{}", again.retries);
+    let jobs = |tally: &Tally| tally.submissions.iter().sum::<u64>() as f64;
+    assert_eq!(jobs(&once), once.all.jobs as f64);
+    assert_eq!(jobs(&again), (again.all.jobs as f64 * (1.0 + again.retries)).round());
+    // The shortest `Retry-After` is a second, so that nothing changes before.
+    assert_eq!(again.submissions[0], once.submissions[0]);
+    assert!(again.submissions[3..].iter().sum::<u64>() > once.submissions[3..].iter().sum());
+    pattern.retry_after_s = Some(9);
+    assert_eq!(trial::play(&pattern, 0).retries, 0.0, "jobs no longer arrive then");
+}
