--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -46,6 +46,7 @@
     speeds: Gauge<u64>,
     unresponsive: Counter<u64>,
     placed_far: Counter<u64>,
+    floods: Counter<u64>,
 }
 
 impl Metrics {
@@ -108,6 +109,10 @@
                 "tasks_placed_far",
                 "Tasks that this entry's jobs sent to other data centres, by data centre",
             ),
+            floods: counter(
+                "admission_floods",
+                "Jobs of flooding classes, by length, number of tasks and part of the flood",
+            ),
             exporter,
         })
     }
@@ -148,8 +153,12 @@
             Decision::Keep { unkept: Some(unkept), .. } => {
                 self.unkept.record(unkept.0 as f64 / 1e6, &[]);
             }
-            Decision::Admit { limit, group, .. } => {
+            Decision::Admit { limit, group, floods, .. } => {
                 self.admission_limit.record(limit.0 as f64 / 1e6, &labels(*group));
+                if let Some(part) = floods {
+                    let [length, width] = labels(*group);
+                    self.floods.add(1, &[length, width, KeyValue::new("part", part.as_str())]);
+                }
             }
             Decision::Answer { answer: "refused", group, .. } => {
                 self.refused.add(1, &labels(*group));
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -222,6 +222,9 @@
     pub avoid_unresponsive: bool,
     /// When an executor that fails or hangs is isolated.
     pub health_rule: HealthRule,
+    /// A class of jobs floods if its arrivals exceed this percentage of the usual ones: those
+    /// beyond the usual ones are rejected first. 0 disables it.
+    pub flood_percent: u64,
 }
 
 impl Options {
@@ -345,6 +348,7 @@
             report_interval_keepers: Span::from_millis(15),
             avoid_unresponsive: true,
             health_rule: HealthRule::Likelihood,
+            flood_percent: 200,
         }
     }
 }
