Soak: surges of one route, partial hangs, executors of unequal speed

The soak had one queue, executors of one kind, and no overload, so that neither admission nor the choice by kind ran in it, and executors failed all or nothing.

Plans of lower seeds draw nothing new. A refusal without Retry-After is a violation.

--- a/components/endpoint/src/http/raw.rs
+++ b/components/endpoint/src/http/raw.rs
@@ -7,6 +7,7 @@
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use site::unit::Span;
 use smol::{Timer, future::FutureExt};
 use std::{
     net::SocketAddr,
@@ -37,6 +38,8 @@
     pub status: u16,
     /// Response body.
     pub body: Bytes,
+    /// The `Retry-After` header; `None` if absent or not a number.
+    pub retry_after: Option<Span>,
 }
 
 /// Why a plain request has no response.
@@ -122,7 +125,11 @@
                         host.release(connection, self.connections);
                     }
                     let response = exchange.response;
-                    return Ok(RawResponse { status: response.status, body: response.body });
+                    return Ok(RawResponse {
+                        status: response.status,
+                        body: response.body,
+                        retry_after: response.retry_after,
+                    });
                 }
                 Err(Failure::Unsent(Unsent::Closed)) if !is_new => {}
                 Err(Failure::Unsent(why)) => return Err(RequestError::Unsent(why)),
--- a/components/standin/src/leased/serve.rs
+++ b/components/standin/src/leased/serve.rs
@@ -163,9 +163,9 @@
         draining: bool,
         sequence: u64,
     ) -> Vec<u8> {
-        let (clock_ms, born) = {
+        let (clock_ms, born, kind) = {
             let state = self.shared.state.lock();
-            (state.clock(self.shared.now()), state.incarnation)
+            (state.clock(self.shared.now()), state.incarnation, state.kind)
         };
         let registration = Registration {
             service,
@@ -176,7 +176,7 @@
             state: if draining { "draining" } else { "ready" },
             cold_remaining_ms: 0,
             capacity: json!({ "cpu": 64_000, "mem_mb": 65_536, "gpu": 0 }),
-            labels: ["a"],
+            labels: [kind],
             clock_ms,
             sequence,
             born,
--- a/components/standin/src/leased/state.rs
+++ b/components/standin/src/leased/state.rs
@@ -29,6 +29,9 @@
     pub needs: Resources,
 }
 
+/// How long a task that hangs runs, in microseconds: beyond the end of any test.
+const HANG_DURATION_US: u64 = 3_600_000_000;
+
 /// The state of one incarnation of an executor.
 #[derive(Debug)]
 pub struct ExecutorState {
@@ -67,6 +70,15 @@
     pub duration_factor: u64,
     /// Whether all tasks started from now on fail.
     pub fails: bool,
+    /// The kind of machine, as registered.
+    pub kind: &'static str,
+    /// Run time of tasks started from now on, in percent of what they take at full speed.
+    pub run_time_percent: u64,
+    /// How many of a hundred tasks started from now on hang.
+    pub hang_percent: u32,
+    /// Added up over starts; a task hangs each time that a hundred is reached, so that hangs are
+    /// spread evenly.
+    hang_sum: u32,
 }
 
 impl ExecutorState {
@@ -91,6 +103,10 @@
             up: true,
             duration_factor: 1,
             fails: false,
+            kind: "a",
+            run_time_percent: 100,
+            hang_percent: 0,
+            hang_sum: 0,
         }
     }
 
@@ -188,12 +204,24 @@
             return refused(Refusal::Room);
         }
         let result = if self.fails { RunResult::Failed } else { RunResult::Done };
-        let length = if self.fails { 5_000 } else { length * self.duration_factor };
+        let length = match (self.fails, self.takes_hang()) {
+            (true, _) => 5_000,
+            (false, true) => HANG_DURATION_US,
+            (false, false) => length * self.duration_factor * self.run_time_percent / 100,
+        };
         let running = Running { ends_at: Time(now.0 + length), result, needs };
         self.running.insert(start.run.clone(), running);
         StartResponse::Running { clock }
     }
 
+    /// Whether the task that starts now hangs.
+    fn takes_hang(&mut self) -> bool {
+        self.hang_sum += self.hang_percent;
+        let hangs = self.hang_sum >= 100;
+        self.hang_sum %= 100;
+        hangs
+    }
+
     /// Carries out a stop order. The run number counts as used, even if the run never started.
     pub fn stop(&mut self, now: Time, run: &Run, token: u64) -> Response<()> {
         self.end_due_runs(now);
--- a/components/standin/tests/leased.rs
+++ b/components/standin/tests/leased.rs
@@ -61,3 +61,14 @@
     assert_eq!(state.failed.get(&("a".to_owned(), 0)), Some(&1));
     assert!(state.done.is_empty());
 }
+
+#[test]
+fn a_part_of_the_tasks_hangs() {
+    let mut state = executor();
+    state.hang_percent = 30;
+    for job in 0..10 {
+        start(&mut state, &job.to_string(), 900);
+    }
+    state.end_due_runs(Time(RUN_US));
+    assert_eq!((state.running.len(), state.done.len()), (3, 7));
+}
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,7 +2,7 @@
 //! lost connection.
 
 use crate::{
-    document::{self, CALLER_TIMEOUT_MS, HOST, JOBS_PATH},
+    document::{self, CALLER_TIMEOUT_MS, HOST, JOB_KINDS, JobKind},
     history::{self, History, Outcome},
 };
 use endpoint::http::{Options, RawClient as Transport, RawRequest, RawResponse, RequestError};
@@ -13,7 +13,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -28,12 +28,12 @@
 /// Added to the caller's timeout, for the network delay of the answer.
 const ANSWER_DELAY_ALLOWANCE: Duration = Duration::from_millis(500);
 
-/// Number of tasks, milliseconds per task and relative frequency of each kind of job.
-const JOB_KINDS: [(u16, u64, u32); 3] = [(8, 60, 3), (4, 450, 1), (2, 200, 6)];
-
 /// Longest pause between two jobs of a caller, in milliseconds.
 const MAX_PAUSE_MS: u64 = 1_200;
 
+/// The same in a surge.
+const MAX_SURGE_PAUSE_MS: u64 = 200;
+
 /// One attempt in this many may be abandoned before its answer.
 const LEAVE_ONE_IN: u32 = 12;
 
@@ -46,27 +46,74 @@
     pub history: Arc<History>,
     /// Set when the callers should end.
     pub stop: AtomicBool,
+    /// Seed of the play.
+    pub seed: u64,
+    /// Number of the next caller; starts at 1.
+    pub next_number: AtomicU64,
+}
+
+/// Which jobs a caller submits, and how long.
+#[derive(Clone, Copy, Debug)]
+pub enum Load {
+    /// Jobs of all kinds until `Shared::stop` is set.
+    Usual,
+    /// Jobs of one kind until a time.
+    Surge {
+        /// Index of the kind.
+        kind: usize,
+        /// When the surge ends.
+        until: Instant,
+    },
+}
+
+impl Load {
+    fn max_pause_ms(self) -> u64 {
+        match self {
+            Load::Usual => MAX_PAUSE_MS,
+            Load::Surge { .. } => MAX_SURGE_PAUSE_MS,
+        }
+    }
+
+    fn has_ended(self, shared: &Shared) -> bool {
+        match self {
+            Load::Usual => shared.stop.load(Ordering::Relaxed),
+            Load::Surge { until, .. } => Instant::now() >= until,
+        }
+    }
+
+    fn draw_kind(self, random: &mut ChaCha8Rng) -> &'static JobKind {
+        match self {
+            Load::Usual => JOB_KINDS
+                .choose_weighted(random, |kind| kind.weight)
+                .expect("the weights are constants above 0"),
+            Load::Surge { kind, .. } => &JOB_KINDS[kind],
+        }
+    }
 }
 
-/// Submits jobs until `stop` is set. `number` identifies the caller.
-pub async fn run(shared: Arc<Shared>, seed: u64, number: u64) {
-    let mut random = ChaCha8Rng::seed_from_u64(seed ^ number << 32);
+/// Submits jobs while its load lasts. `number` identifies the caller.
+pub async fn run(shared: Arc<Shared>, number: u64, load: Load) {
+    let mut random = ChaCha8Rng::seed_from_u64(shared.seed ^ number << 32);
     let transport = Transport::new(1, Options::default());
     for job in 1.. {
-        Timer::after(Duration::from_millis(random.random_range(0..MAX_PAUSE_MS))).await;
-        if shared.stop.load(Ordering::Relaxed) {
+        Timer::after(Duration::from_millis(random.random_range(0..load.max_pause_ms()))).await;
+        if load.has_ended(&shared) {
             return;
         }
         let name = document::name(number << 32 | job);
-        submit(&shared, &transport, &mut random, &name).await;
+        let kind = load.draw_kind(&mut random);
+        submit(&shared, &transport, &mut random, &name, kind).await;
     }
 }
 
-async fn submit(shared: &Shared, transport: &Transport, random: &mut ChaCha8Rng, name: &str) {
-    let Ok(&(tasks, ms, _)) = JOB_KINDS.choose_weighted(random, |(_, _, weight)| *weight) else {
-        return;
-    };
-    let body = document::job(u32::from(tasks), ms).to_string();
+async fn submit(
+    shared: &Shared,
+    transport: &Transport,
+    random: &mut ChaCha8Rng,
+    name: &str,
+    kind: &JobKind,
+) {
+    let body = document::job(u32::from(kind.tasks), kind.ms).to_string();
     let begun = Instant::now();
     let mut entry = random.random_range(0..shared.entries.len());
     loop {
@@ -74,8 +121,8 @@
         if left.is_zero() {
             return;
         }
-        let attempt = shared.history.begin(name, tasks, entry);
-        let request = build_request(name, attempt, &body, left);
+        let attempt = shared.history.begin(name, kind.tasks, entry);
+        let request = build_request(kind.path, name, attempt, &body, left);
         let leaves_after =
             random.random_ratio(1, LEAVE_ONE_IN).then(|| random.random_range(1..400));
         let leave = async {
@@ -95,7 +142,7 @@
             }
             Outcome::Completed
             | Outcome::Failed
-            | Outcome::Refused
+            | Outcome::Refused { .. }
             | Outcome::TimedOut
             | Outcome::Left => return,
         }
@@ -104,13 +151,19 @@
     }
 }
 
-fn build_request(name: &str, attempt: usize, body: &str, left: Duration) -> RawRequest {
+fn build_request(
+    prefix: &str,
+    name: &str,
+    attempt: usize,
+    body: &str,
+    left: Duration,
+) -> RawRequest {
     let headers = vec![
         ("Host", HOST.to_owned()),
         ("Request-Id", history::request(name, attempt)),
         ("X-Remaining-Milliseconds", left.as_millis().to_string()),
     ];
-    let path = format!("{JOBS_PATH}{name}");
+    let path = format!("{prefix}{name}");
     let body = body.to_owned().into();
     RawRequest {
         method: Method::Post,
@@ -126,7 +179,7 @@
         Ok(reply) => match (reply.status, &reply.body[..]) {
             (200, br#"{"state":"completed"}"#) => Outcome::Completed,
             (200, br#"{"state":"failed"}"#) => Outcome::Failed,
-            (429 | 503, _) => Outcome::Refused,
+            (429 | 503, _) => Outcome::Refused { has_retry_after: reply.retry_after.is_some() },
             (504, _) => Outcome::GivenUp,
             (status, _) => Outcome::Unexpected(status),
         },
--- a/soak/src/check/jobs.rs
+++ b/soak/src/check/jobs.rs
@@ -44,8 +44,8 @@
 /// Checks that a job has not run if each attempt was refused or never sent.
 fn refusal(evidence: &Evidence<'_>, name: &str, job: &Job) -> Option<Violation> {
     let ends = || job.attempts.iter().filter_map(|attempt| attempt.end.map(|(_, outcome)| outcome));
-    let refused = ends().any(|outcome| outcome == Outcome::Refused)
-        && ends().all(|outcome| matches!(outcome, Outcome::Refused | Outcome::Unsent));
+    let refused = ends().any(|outcome| matches!(outcome, Outcome::Refused { .. }))
+        && ends().all(|outcome| matches!(outcome, Outcome::Refused { .. } | Outcome::Unsent));
     let starts = evidence.monitor.starts(name);
     (refused && starts > 0).then(|| Violation::FalseRefusal { job: name.to_owned(), starts })
 }
@@ -83,6 +83,7 @@
     let (at, outcome) = attempt.end?;
     let (entry, job) = (attempt.entry, name.to_owned());
     match outcome {
+        Outcome::Refused { has_retry_after: false } => Some(Violation::NoRetryAfter { job, entry }),
         Outcome::Unexpected(status) => Some(Violation::UnexpectedStatus { job, status }),
         Outcome::Disconnected
             if evidence.record.is_undisturbed(attempt.sent, at, CONTACT_TIMEOUT) =>
--- a/soak/src/check/violation.rs
+++ b/soak/src/check/violation.rs
@@ -48,6 +48,14 @@
         /// Its HTTP status.
         status: u16,
     },
+    /// A refusal does not say when to come back.
+    #[display("job {job} was refused by entry {entry} without Retry-After")]
+    NoRetryAfter {
+        /// Name of the job.
+        job: String,
+        /// Index of the entry.
+        entry: usize,
+    },
     /// A request was cut off although there were only planned faults.
     #[display("job {job} was cut off {} ms after entry {entry} got SIGTERM", after.as_millis())]
     Cut {
@@ -132,6 +140,7 @@
             | Violation::FalseCompletion { .. }
             | Violation::FalseFailure { .. }
             | Violation::UnexpectedStatus { .. }
+            | Violation::NoRetryAfter { .. }
             | Violation::ConfigurationRollback { .. }
             | Violation::LeftOver { .. } => false,
             Violation::Cut { .. }
--- a/soak/src/document.rs
+++ b/soak/src/document.rs
@@ -8,8 +8,25 @@
 /// `Host` header of all queues.
 pub const HOST: &str = "shop.example";
 
-/// Path prefix of the queue that all jobs are submitted to.
-pub const JOBS_PATH: &str = "/jobs/";
+/// A kind of job, which has a queue of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct JobKind {
+    /// Path prefix of its queue.
+    pub path: &'static str,
+    /// Number of tasks.
+    pub tasks: u16,
+    /// Milliseconds that a task takes.
+    pub ms: u64,
+    /// Relative frequency.
+    pub weight: u32,
+}
+
+/// The kinds of jobs.
+pub const JOB_KINDS: [JobKind; 3] = [
+    JobKind { path: "/wide/", tasks: 8, ms: 60, weight: 3 },
+    JobKind { path: "/long/", tasks: 4, ms: 450, weight: 1 },
+    JobKind { path: "/small/", tasks: 2, ms: 200, weight: 6 },
+];
 
 /// How long callers wait for the answer to a job, in milliseconds.
 pub const CALLER_TIMEOUT_MS: u64 = 3_000;
@@ -37,7 +54,7 @@
     format!("/only-{version}/")
 }
 
-/// Returns a configuration with the queue for all jobs and the marker queue that identifies its
+/// Returns a configuration with the queues for jobs and the marker queue that identifies its
 /// version.
 pub fn config(version: u64, timeout_ms: u64) -> Vec<u8> {
     let route = |name: &str, prefix: &str| {
@@ -47,9 +64,11 @@
             "service": SERVICE, "max_attempts": MAX_ATTEMPTS, "stretch": 3.0,
         })
     };
+    let jobs = JOB_KINDS.iter().map(|kind| route("jobs", kind.path));
+    let routes: Vec<_> = jobs.chain([route("marker", &marker_path(version))]).collect();
     let config = json!({
         "version": version,
-        "routes": [route("jobs", JOBS_PATH), route("marker", &marker_path(version))],
+        "routes": routes,
         "services": [{ "name": SERVICE, "health_path": "/health", "enforces_capacity": true }],
         "limits": { "max_body_bytes": 4_096 },
     });
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -14,7 +14,10 @@
     /// The answer says that a task failed too often.
     Failed,
     /// The answer says that nothing of the job has run.
-    Refused,
+    Refused {
+        /// Whether it says when to come back.
+        has_retry_after: bool,
+    },
     /// The answer says that the job was given up because it can't end in time.
     GivenUp,
     /// An answer with another status, which is given.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -1,7 +1,9 @@
 //! Injects the faults of a plan into a site, concurrently.
 
 use crate::{
-    Error, document,
+    Error,
+    caller::{self, Load, Shared},
+    document,
     history::{History, Leaving, Stop},
     plan::{EntryFault, ExecutorFault, Fault, Step, StoreFault},
     proxy::{self, Forwarding},
@@ -40,6 +42,13 @@
 /// Factor by which a slow executor takes longer.
 const SLOW_FACTOR: u64 = 4;
 
+/// How many of a hundred tasks an executor hangs that hangs a part of them.
+const HANG_PERCENT: u32 = 30;
+
+/// Callers of a surge for each caller that submits jobs all the time. They pause less, so that the
+/// executors have no room for most of their jobs.
+const SURGE_FACTOR: usize = 2;
+
 /// Injects faults into a site.
 #[derive(Debug)]
 pub struct Injector {
@@ -49,6 +58,10 @@
     pub history: Arc<History>,
     /// Version of the newest configuration.
     pub version: AtomicU64,
+    /// State that all callers share.
+    pub callers: Arc<Shared>,
+    /// Number of the callers that submit jobs all the time.
+    pub caller_count: usize,
 }
 
 /// Blocks both directions.
@@ -85,6 +98,7 @@
             }
             Fault::Store(what) => self.inject_store(what, step.duration).await,
             Fault::Configure => self.configure(),
+            Fault::Surge(kind) => self.surge(kind, step.duration).await,
         }
         // A fault waits for another one that has locked the same process, so it may end later than
         // planned.
@@ -92,9 +106,9 @@
         Ok(())
     }
 
-    /// Records the time of a fault, unless it is planned.
+    /// Records the time of a fault that may violate guarantees with a time bound.
     fn record_disturbance(&self, fault: Fault, from: Instant, until: Instant) {
-        if !fault.is_planned() {
+        if !fault.is_ordinary() {
             self.history.update(|record| record.disturbances.push((from, until + STARTUP_TIME)));
         }
     }
@@ -149,6 +163,12 @@
                 };
                 self.misbehave(index, duration, slow_down).await;
             }
+            ExecutorFault::Hang => {
+                let hang = |state: &mut ExecutorState, hangs| {
+                    state.hang_percent = if hangs { HANG_PERCENT } else { 0 }
+                };
+                self.misbehave(index, duration, hang).await;
+            }
             ExecutorFault::Crash => self.crash(index, duration).await?,
             ExecutorFault::Leave => self.leave(index).await,
         }
@@ -182,6 +202,21 @@
         self.history.update(|record| record.configured.push((Instant::now(), version)));
     }
 
+    /// Lets additional callers submit jobs of one kind.
+    async fn surge(&self, kind: usize, duration: Duration) {
+        let until = Instant::now() + duration;
+        let callers: Vec<_> = (0..self.caller_count * SURGE_FACTOR)
+            .map(|_| {
+                let number = self.callers.next_number.fetch_add(1, Ordering::Relaxed);
+                let load = Load::Surge { kind, until };
+                smol::spawn(caller::run(self.callers.clone(), number, load))
+            })
+            .collect();
+        for caller in callers {
+            caller.await;
+        }
+    }
+
     /// Marks an executor as leaving, once it is up.
     async fn leave(&self, index: usize) {
         let worker = &self.site.workers[index];
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,7 +4,7 @@
 use smol::lock::Semaphore;
 use soak::{
     Error,
-    plan::{self, Naming, Size},
+    plan::{self, Naming, Size, Speed},
     play::{self, Verdict},
     sabotage::Sabotage,
 };
@@ -87,9 +87,13 @@
     if args.plan {
         for seed in seeds {
             println!("seed {seed}");
-            if plan::naming(seed) == Naming::Shared {
+            let fleet = plan::fleet(seed);
+            if fleet.naming == Naming::Shared {
                 println!("  incarnations of an executor share its name");
             }
+            if fleet.speed == Speed::ByKind {
+                println!("  executors differ in speed by kind");
+            }
             plan::plan(seed, &size).iter().for_each(|step| println!("  {step}"));
         }
         return Ok(true);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,7 +1,11 @@
 //! Derives the faults of a play and their times from a seed.
 
+use crate::document::JOB_KINDS;
 use derive_more::Display;
-use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand::{
+    Rng, SeedableRng,
+    seq::{IndexedRandom, index::sample},
+};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
@@ -41,6 +45,9 @@
     /// The operator writes another configuration.
     #[display("the configuration changes")]
     Configure,
+    /// Additional callers submit jobs of one kind, by its index.
+    #[display("jobs of kind {_0} surge")]
+    Surge(usize),
 }
 
 /// Fault of an entry.
@@ -108,6 +115,9 @@
     /// It is marked as leaving.
     #[display("is leaving")]
     Leave,
+    /// It lets a part of the tasks hang that it starts.
+    #[display("hangs a part of its tasks")]
+    Hang,
 }
 
 /// Fault of the store.
@@ -125,13 +135,15 @@
 }
 
 impl Fault {
-    /// Returns whether it is planned work, which must not affect any caller.
-    pub fn is_planned(self) -> bool {
+    /// Returns whether all guarantees hold during it: planned work and surges, in which jobs are
+    /// refused.
+    pub fn is_ordinary(self) -> bool {
         matches!(
             self,
             Fault::Entry(_, EntryFault::Terminate)
                 | Fault::Executor(_, ExecutorFault::Leave)
                 | Fault::Configure
+                | Fault::Surge(_)
         )
     }
 }
@@ -145,6 +157,24 @@
     Shared,
 }
 
+/// Whether the executors differ in speed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Speed {
+    /// All are of one kind and equally fast.
+    Alike,
+    /// A third is of a kind that is slower than estimates say, the others are of one that is faster.
+    ByKind,
+}
+
+/// What the executors of a play have in common.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Fleet {
+    /// How their incarnations are named.
+    pub naming: Naming,
+    /// Whether they differ in speed.
+    pub speed: Speed,
+}
+
 /// A fault with its time.
 #[derive(Clone, Copy, Debug, Display)]
 #[display("{:6.2} s, for {:4.2} s: {fault}", at.as_secs_f64(), duration.as_secs_f64())]
@@ -196,21 +226,48 @@
 /// Plans of lower seeds lose no entry for that long, so that they stay what they were.
 const FIRST_SEED_WITH_LOSSES: u64 = 30_000;
 
+/// Duration of a surge in milliseconds: beyond the time after which a lost entry's executors are in
+/// use again.
+const SURGE_DURATION_MS: std::ops::RangeInclusive<u64> = 4_000..=8_000;
+
+/// Time in milliseconds from the beginning of a surge until an entry is killed in it: jobs are being
+/// refused by then.
+const SURGE_LOSS_DELAY_MS: std::ops::RangeInclusive<u64> = 1_000..=2_500;
+
+/// Duration in milliseconds for which executors hang a part of their tasks.
+const HANG_DURATION_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
+
+/// Of this many executors one hangs a part of its tasks, at least one in all.
+const HANG_ONE_IN: usize = 6;
+
+/// Plans of lower seeds have no surges, no partial failures and executors of one speed, so that they
+/// stay what they were.
+const FIRST_SEED_WITH_SURGES: u64 = 40_000;
+
+/// Executors differ in speed in one play in this many of those with surges.
+const UNEVEN_ONE_IN: u32 = 2;
+
 /// One play in this many has planned faults only.
 const PLANNED_ONLY_ONE_IN: u32 = 4;
 
 /// Incarnations share a name in one play in this many of those with crashes.
 const SHARED_NAMES_ONE_IN: u32 = 3;
 
-/// Returns how the incarnations of an executor are named in the play of a seed.
-pub fn naming(seed: u64) -> Naming {
+/// Returns what the executors have in common in the play of a seed.
+pub fn fleet(seed: u64) -> Fleet {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     // A stream of its own, since `plan` draws from the first.
     random.set_stream(1);
-    match seed >= FIRST_SEED_WITH_CRASHES && random.random_ratio(1, SHARED_NAMES_ONE_IN) {
-        true => Naming::Shared,
-        false => Naming::Distinct,
-    }
+    let naming =
+        match seed >= FIRST_SEED_WITH_CRASHES && random.random_ratio(1, SHARED_NAMES_ONE_IN) {
+            true => Naming::Shared,
+            false => Naming::Distinct,
+        };
+    let speed = match seed >= FIRST_SEED_WITH_SURGES && random.random_ratio(1, UNEVEN_ONE_IN) {
+        true => Speed::ByKind,
+        false => Speed::Alike,
+    };
+    Fleet { naming, speed }
 }
 
 /// Returns the steps of a seed, in order of time.
@@ -229,6 +286,12 @@
     if seed >= FIRST_SEED_WITH_LOSSES && !planned_only {
         push_losses(&mut random, size, &mut steps);
     }
+    if seed >= FIRST_SEED_WITH_SURGES {
+        push_surge(&mut random, size, planned_only, &mut steps);
+        if !planned_only {
+            push_hangs(&mut random, size, &mut steps);
+        }
+    }
     steps.sort_by_key(|step| step.at);
     // At most a third of the executors may leave, so that the others can carry the load.
     let mut left = 0;
@@ -272,6 +335,30 @@
     }
 }
 
+/// Lets jobs of one kind surge, and kills an entry meanwhile unless only planned faults are allowed.
+fn push_surge(random: &mut ChaCha8Rng, size: &Size, planned_only: bool, steps: &mut Vec<Step>) {
+    let at = Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64));
+    let duration = Duration::from_millis(random.random_range(SURGE_DURATION_MS));
+    let kind = random.random_range(0..JOB_KINDS.len());
+    steps.push(Step { at, duration, fault: Fault::Surge(kind) });
+    if !planned_only {
+        let at = at + Duration::from_millis(random.random_range(SURGE_LOSS_DELAY_MS));
+        let duration = Duration::from_millis(random.random_range(LOSS_DURATION_MS));
+        let fault = Fault::Entry(random.random_range(0..size.entries), EntryFault::Lose);
+        steps.push(Step { at, duration, fault });
+    }
+}
+
+/// Lets several executors hang a part of their tasks at the same time.
+fn push_hangs(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
+    let at = Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64));
+    let duration = Duration::from_millis(random.random_range(HANG_DURATION_MS));
+    let count = (size.executors / HANG_ONE_IN).max(1);
+    for executor in sample(random, size.executors, count) {
+        steps.push(Step { at, duration, fault: Fault::Executor(executor, ExecutorFault::Hang) });
+    }
+}
+
 /// Faults that an operator causes on purpose. The index is a placeholder.
 const PLANNED_FAULTS: [Fault; 3] = [
     Fault::Entry(0, EntryFault::Terminate),
@@ -330,6 +417,6 @@
     match fault {
         Fault::Entry(_, what) => Fault::Entry(target.entry, what),
         Fault::Executor(_, what) => Fault::Executor(target.executor, what),
-        Fault::Store(_) | Fault::Configure => fault,
+        Fault::Store(_) | Fault::Configure | Fault::Surge(_) => fault,
     }
 }
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     Error,
-    caller::{self, Shared},
+    caller::{self, Load, Shared},
     check::{self, Evidence, Violation},
     history::{History, Outcome, Record},
     inject::Injector,
@@ -78,7 +78,7 @@
     size: &Size,
     sabotage: Option<Sabotage>,
 ) -> Result<Verdict, Error> {
-    let site = Arc::new(Site::start(program, size, plan::naming(seed)).await?);
+    let site = Arc::new(Site::start(program, size, plan::fleet(seed)).await?);
     let verdict = play_at(&site, seed, size, sabotage).await;
     site.kill_entries().await?;
     let verdict = verdict?;
@@ -97,7 +97,6 @@
     let steps = sabotage.map_or_else(|| plan::plan(seed, size), Sabotage::steps);
     let history = Arc::new(History::default());
     let version = AtomicU64::new(1);
-    let injector = Arc::new(Injector { site: site.clone(), history: history.clone(), version });
     let mut entries: Vec<_> = site.nodes.iter().map(|node| node.callers.address).collect();
     let faulty_server = match sabotage {
         Some(sabotage) => Some(FaultyServer::start(sabotage, site).await?),
@@ -107,8 +106,16 @@
         entries[0] = faulty_server.address;
     }
     let stop = AtomicBool::new(false);
-    let shared = Arc::new(Shared { entries, history: history.clone(), stop });
-    let callers = start_callers(&shared, seed, size);
+    let next_number = AtomicU64::new(1);
+    let shared = Arc::new(Shared { entries, history: history.clone(), stop, seed, next_number });
+    let injector = Arc::new(Injector {
+        site: site.clone(),
+        history: history.clone(),
+        version,
+        callers: shared.clone(),
+        caller_count: size.callers,
+    });
+    let callers = start_callers(&shared, size);
     let observers = start_observers(&injector, &shared);
     Timer::after(WARM_UP).await;
     inject(&injector, &steps).await?;
@@ -131,9 +138,12 @@
 }
 
 /// Starts all callers.
-fn start_callers(shared: &Arc<Shared>, seed: u64, size: &Size) -> Vec<Task<()>> {
-    let numbers = 1..=size.callers as u64;
-    numbers.map(|number| smol::spawn(caller::run(shared.clone(), seed, number))).collect()
+fn start_callers(shared: &Arc<Shared>, size: &Size) -> Vec<Task<()>> {
+    let start = |_| {
+        let number = shared.next_number.fetch_add(1, Ordering::Relaxed);
+        smol::spawn(caller::run(shared.clone(), number, Load::Usual))
+    };
+    (0..size.callers).map(start).collect()
 }
 
 /// Starts the observers, which stop when the tasks are dropped.
@@ -199,7 +209,7 @@
         seed,
         jobs: record.jobs.len(),
         completed: count(|outcome| *outcome == Outcome::Completed),
-        refused: count(|outcome| *outcome == Outcome::Refused),
+        refused: count(|outcome| matches!(outcome, Outcome::Refused { .. })),
         given_up: count(|outcome| matches!(outcome, Outcome::GivenUp | Outcome::Failed)),
         disconnected: count(|outcome| matches!(outcome, Outcome::Disconnected | Outcome::TimedOut)),
         steps,
--- a/soak/src/sabotage.rs
+++ b/soak/src/sabotage.rs
@@ -126,7 +126,7 @@
             let shows_first = self.sabotage == Sabotage::Configuration && is_first;
             return conn.with_status(if shows_first { 200 } else { 404 }).halt();
         }
-        let name = conn.path().trim_start_matches(document::JOBS_PATH).to_owned();
+        let name = conn.path().rsplit('/').next().unwrap_or_default().to_owned();
         // A body that can't be read ends the connection anyway.
         let _ = conn.request_body_string().await;
         let request = conn.request_headers().get_str("Request-Id").unwrap_or_default();
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -4,7 +4,7 @@
     Error,
     document::{self, SERVICE},
     entry::{Entry, Setup},
-    plan::{Naming, Size},
+    plan::{Fleet, Size},
     proxy::Proxy,
     relay::Relay,
     worker::Worker,
@@ -79,7 +79,7 @@
     /// # Errors
     ///
     /// When a file, a port or the program can't be used, or an entry is not ready in time.
-    pub async fn start(program: &Path, size: &Size, naming: Naming) -> Result<Site, Error> {
+    pub async fn start(program: &Path, size: &Size, fleet: Fleet) -> Result<Site, Error> {
         let begun = Instant::now();
         let number = NEXT_PLAY.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("soak-{}-{number}", std::process::id()));
@@ -88,7 +88,7 @@
         let monitor = Arc::new(RunMonitor::default());
         let mut workers = Vec::new();
         for index in 0..size.executors {
-            workers.push(Worker::start(index, naming, begun, &monitor).await?);
+            workers.push(Worker::start(index, fleet, begun, &monitor).await?);
         }
         let mut nodes = Vec::new();
         for index in 0..size.entries {
