Jobs carry their queue, and bad ends the health of their executor

Who pays in a surge could be told by length and width of jobs only, and whether bad ends came from executors that were known to be bad could not be told at all.

The decision run-ended carries the health of the executor before the end, and run_failures has labels for it and for the end.

--- a/components/runner/src/lib.rs
+++ b/components/runner/src/lib.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod metrics;
 mod orders;
+mod routes;
 mod watch;
 
 pub use clock::Clock;
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The metrics of an entry.
 
-use crate::decision_log::unix_ms;
+use crate::{decision_log::unix_ms, routes::RouteLabels};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -44,6 +44,7 @@
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
     speeds: Gauge<u64>,
+    routes: RouteLabels,
 }
 
 impl Metrics {
@@ -61,13 +62,19 @@
             starts: counter("run_starts", "Starts sent to executors, by response"),
             polls: counter("executor_looks", "Polls of executors, by response"),
             stops: counter("run_stops", "Stops sent to executors, by response"),
-            failures: counter("run_failures", "Runs that ended otherwise than well"),
+            failures: counter(
+                "run_failures",
+                "Runs that ended otherwise than well, by end and health of the executor",
+            ),
             choices: counter("run_choices", "Starts by kind of executor and outlook"),
             late_runs: counter("runs_late", "Runs that completed after the deadline, by kind"),
             forwards: counter("task_forwards", "Tasks handed to another keeper for lack of room"),
             returned: counter("tasks_returned", "Tasks that keepers returned unstarted"),
             store: counter("store_calls", "Calls to the platform's store, by outcome"),
-            refused: counter("jobs_refused", "Jobs refused, by task length and number of tasks"),
+            refused: counter(
+                "jobs_refused",
+                "Jobs refused, by route, task length and number of tasks",
+            ),
             admission_limit: meter
                 .f64_gauge("admission_limit_seconds")
                 .with_description(
@@ -98,6 +105,7 @@
                 .u64_gauge("executor_speed_percent")
                 .with_description("Run time on executors of a kind, in percent of the estimate")
                 .build(),
+            routes: RouteLabels::default(),
             exporter,
         })
     }
@@ -118,7 +126,10 @@
 
     pub(crate) fn decided(&self, decision: &Decision) {
         match decision {
-            Decision::RunEnded { .. } => self.failures.add(1, &[]),
+            Decision::RunEnded { how, health, .. } => {
+                let end = KeyValue::new("end", how.as_str());
+                self.failures.add(1, &[end, KeyValue::new("health", health.as_str())]);
+            }
             Decision::Start { kind, outlook: Some(outlook), .. } => {
                 let outlook = match outlook {
                     Outlook::InTime => "in-time",
@@ -136,8 +147,9 @@
             Decision::Admit { limit, group, .. } => {
                 self.admission_limit.record(limit.0 as f64 / 1e6, &labels(*group));
             }
-            Decision::Answer { answer: "refused", group, .. } => {
-                self.refused.add(1, &labels(*group));
+            Decision::Answer { answer: "refused", group, route, .. } => {
+                let [length, width] = labels(*group);
+                self.refused.add(1, &[length, width, self.routes.label(route.as_ref())]);
             }
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
--- a/components/runner/tests/engine.rs
+++ b/components/runner/tests/engine.rs
@@ -119,6 +119,7 @@
         give_up: now + Span::from_secs(4),
         first_run: 1,
         stretch: Stretch::default(),
+        route: None,
     }
 }
 
--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -1,9 +1,10 @@
 //! Decisions, for the decision log.
 
-use super::{Ending, KeepChange, Outlook, Reason, Source, StopCause};
+use super::{Ending, ExecutorHealth, KeepChange, Outlook, Reason, Source, StopCause};
 use crate::{
     demand::Group,
     executor::{Kind, Refusal},
+    job::Route,
     message::End,
     speed::Factor,
 };
@@ -41,6 +42,9 @@
         /// The job's group among those that compete for scarce capacity.
         #[serde(serialize_with = "text")]
         group: Group,
+        /// The queue that it was submitted to.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        route: Option<Route>,
     },
     /// Tasks of a job were sent to a keeper.
     Place {
@@ -119,6 +123,8 @@
         /// Time since the executor last confirmed or listed it; `None` if it never did, so that it
         /// may not have begun.
         last_seen: Option<Span>,
+        /// Health of the executor before this end was taken into account.
+        health: ExecutorHealth,
     },
     /// A run was stopped.
     StopRun {
@@ -171,6 +177,9 @@
         /// The job's group among those that compete for scarce capacity.
         #[serde(serialize_with = "text")]
         group: Group,
+        /// The queue that it was submitted to.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        route: Option<Route>,
     },
     /// A caller left before its answer.
     Left {
--- a/components/runs/src/action/mod.rs
+++ b/components/runs/src/action/mod.rs
@@ -4,7 +4,7 @@
 mod reason;
 
 pub use decision::Decision;
-pub use reason::{Ending, KeepChange, Outlook, Reason, Source, StopCause};
+pub use reason::{Ending, ExecutorHealth, KeepChange, Outlook, Reason, Source, StopCause};
 
 use crate::{
     Message,
--- a/components/runs/src/action/reason.rs
+++ b/components/runs/src/action/reason.rs
@@ -1,7 +1,9 @@
 //! What decisions were based on, and how runs and jobs ended.
 
 use crate::executor::RunResult;
+use health::{Monitor, State};
 use serde::Serialize;
+use site::id::EndpointId;
 
 /// Whether a task will be in time on the executor chosen for it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
@@ -13,6 +15,25 @@
     Late,
 }
 
+impl Ending {
+    /// Its name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Listed(RunResult::Done) => "done",
+            Self::Listed(RunResult::Failed) => "failed",
+            Self::Listed(RunResult::Stopped) => "stopped",
+            Self::Listed(RunResult::Lapsed) => "lapsed",
+            Self::Unsent => "unsent",
+            Self::Refused => "refused",
+            Self::Rejected => "rejected",
+            Self::Missing => "missing",
+            Self::LeaseOver => "lease-over",
+            Self::ExecutorGone => "executor-gone",
+            Self::Fenced => "fenced",
+        }
+    }
+}
+
 /// How a run ended, and how the keeper knows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -35,6 +56,46 @@
     Fenced,
 }
 
+/// Health of an executor, as its keeper judges it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ExecutorHealth {
+    /// It takes work without restriction.
+    Open,
+    /// It is more likely faulty than not, and takes work that has no room elsewhere.
+    Doubtful,
+    /// Its latest runs failed; it takes one task at a time.
+    Suspect,
+    /// It takes no work.
+    Isolated,
+    /// It takes one task at a time, to test whether it works again.
+    Probing,
+}
+
+impl ExecutorHealth {
+    /// Returns the health of an executor.
+    pub(crate) fn of(monitor: &Monitor, executor: EndpointId) -> Self {
+        match monitor.state(executor) {
+            State::Open if monitor.is_doubtful(executor) => Self::Doubtful,
+            State::Open => Self::Open,
+            State::Suspect => Self::Suspect,
+            State::Isolated { .. } => Self::Isolated,
+            State::Probing => Self::Probing,
+        }
+    }
+
+    /// Its name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Doubtful => "doubtful",
+            Self::Suspect => "suspect",
+            Self::Isolated => "isolated",
+            Self::Probing => "probing",
+        }
+    }
+}
+
 /// Why a run was stopped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -93,6 +93,7 @@
             foreseen: estimate.wait,
             limit: estimate.limit,
             group: Group::of(&job),
+            route: job.route.clone(),
         }));
         self.waiters.insert(waiter, key.number);
         self.open.insert(key.number, OpenJob::new(now, key, waiter, job));
@@ -358,6 +359,7 @@
             waiting: self.pending_jobs(),
             room: self.peers.with_room(now).map(|(_, room)| room.count(cores)).sum(),
             group: Group::of(&open.job),
+            route: open.job.route.clone(),
         }));
         out.push(Action::Answer { waiter: open.waiter, answer });
         self.cancel_placed(&open, out)
--- a/components/runs/src/job.rs
+++ b/components/runs/src/job.rs
@@ -46,8 +46,17 @@
     pub first_run: u32,
     /// How `due` depends on the true length of its tasks.
     pub stretch: Stretch,
+    /// The queue that it was submitted to, for logs and metrics; `None` if there are none.
+    pub route: Option<Route>,
 }
 
+/// The name of a queue that callers submit jobs to.
+#[derive(
+    Clone, Debug, Display, Eq, FromStr, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Route(pub CompactString);
+
 /// By how much a job's deadline moves with the length of its tasks, in percent: the deadline of a
 /// job whose longest task takes 10 ms more than estimated is later by 10 ms times this.
 #[derive(
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     Action, Cordon, Executor, Job, Message, Options,
-    action::{Decision, Ending, KeepChange},
+    action::{Decision, Ending, ExecutorHealth, KeepChange},
     executor::Service,
     job::Run,
     message::{self, End, Placement},
@@ -321,6 +321,7 @@
                 how,
                 after: now.since(live.sent),
                 last_seen: live.seen.map(|seen| now.since(seen)),
+                health: ExecutorHealth::of(&self.health, id),
             }));
         }
         if end == End::Done {
--- a/components/runs/tests/common/fixture.rs
+++ b/components/runs/tests/common/fixture.rs
@@ -49,5 +49,6 @@
         give_up: now + Span::from_secs(9),
         first_run: 1,
         stretch: Stretch::default(),
+        route: None,
     }
 }
--- a/lab/src/pattern/draw.rs
+++ b/lab/src/pattern/draw.rs
@@ -126,6 +126,7 @@
             give_up: Time((due.0 as f64 * GIVE_UP_FACTOR) as u64),
             first_run: 1,
             stretch: Stretch((self.stretch * 100.0).round() as u16),
+            route: None,
         };
         Arrival {
             at: Span((at * 1e6) as u64),
--- a/lab/src/simulation/callers.rs
+++ b/lab/src/simulation/callers.rs
@@ -85,6 +85,7 @@
             give_up: self.now + Span(objective.0 * 3),
             first_run: 1,
             stretch: Stretch(160),
+            route: None,
         };
         let base = ms * 1_000;
         let length = Span(base + base * (digits % 41) / 100);
