explain: floods, stragglers and takeovers as causes

A refusal was always told as one of overload or of lack of room, also where its own group flooded, and a job whose executor was taken over from a lost entry as one whose run was stopped or whose tasks were long.

Refusals of the surplus of a flooding group name the group. All refusals by overload or for lack of room say how many executors of lost entries were not in use again, and how many stragglers were stopped in the second before. Late jobs name a straggler, the takeover of the executor, or, at sites with several kinds of executors, the run that ended latest with its kind. Fields that are absent or of another type change nothing.

--- a/components/explain/src/cause.rs
+++ b/components/explain/src/cause.rs
@@ -3,7 +3,7 @@
 use crate::{History, Line};
 use compact_str::CompactString;
 use derive_more::Display;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 /// Why a job ended as it did.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -33,7 +33,7 @@
     /// It could not start in time.
     #[display(
         "refused, it has not run: no room for {waited}; {waiting} other jobs waited, other entries \
-         had room for {room} tasks"
+         had room for {room} tasks{around}"
     )]
     NoRoom {
         /// Time from its arrival to the answer.
@@ -42,16 +42,33 @@
         waiting: u64,
         /// Tasks that other entries had room for when it was answered.
         room: u64,
+        /// What took room at that time.
+        around: Around,
     },
     /// Too much work was pending when it arrived.
     #[display(
-        "refused at once, it has not run: it would have waited {foreseen} for room, and the limit was {limit}"
+        "refused at once, it has not run: it would have waited {foreseen} for room, and the limit was {limit}{around}"
     )]
     Overload {
         /// Its expected wait for room.
         foreseen: CompactString,
         /// The longest expected wait at which it would have been admitted.
         limit: CompactString,
+        /// What took room at that time.
+        around: Around,
+    },
+    /// It was beyond the usual number of jobs of its group, which flooded.
+    #[display(
+        "refused at once, it has not run: jobs of its group ({group}) arrived far more often than \
+         usual, and it was beyond the usual number; it would have waited {foreseen} for room{around}"
+    )]
+    Flood {
+        /// The group that flooded.
+        group: CompactString,
+        /// Its expected wait for room.
+        foreseen: CompactString,
+        /// What took room at that time.
+        around: Around,
     },
     /// All executors that could run it were under cordon.
     #[display(
@@ -143,6 +160,48 @@
         /// Description of what happened to the run.
         how: CompactString,
     },
+    /// A run took far longer than its estimate.
+    #[display(
+        "run {run} at executor {executor} was a straggler: it had run for {after} of an estimated \
+         {estimate}"
+    )]
+    Straggler {
+        /// The run, as task name and run number.
+        run: CompactString,
+        /// Name of the executor.
+        executor: CompactString,
+        /// How long it had run when that was noticed.
+        after: CompactString,
+        /// The estimate for its task.
+        estimate: CompactString,
+    },
+    /// A run completed after the deadline.
+    #[display("run {run} at executor {executor} of kind {kind} ended {late_by} late")]
+    LateRun {
+        /// The run, as task name and run number.
+        run: CompactString,
+        /// Name of the executor.
+        executor: CompactString,
+        /// Kind of the executor's machine.
+        kind: CompactString,
+        /// Time since the deadline, as computed from the estimate.
+        late_by: CompactString,
+    },
+    /// An executor of its tasks was without a keeper, and another entry took it over.
+    #[display(
+        "run {run} was at executor {executor}, which {keeper} took over from a lost entry after \
+         {unkept} without a keeper"
+    )]
+    Takeover {
+        /// The run, as task name and run number.
+        run: CompactString,
+        /// Name of the executor.
+        executor: CompactString,
+        /// Name of the entry that took it over.
+        keeper: CompactString,
+        /// Time for which it had no keeper.
+        unkept: CompactString,
+    },
     /// A run had not ended.
     #[display("run {run} at executor {executor} had not ended{silent}")]
     Unended {
@@ -200,6 +259,38 @@
     LongTasks,
 }
 
+/// What took room away around the time of a refusal.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Around {
+    /// Executors of lost entries that were not in use again yet.
+    pub unkept: usize,
+    /// Runs that were stopped as far too long in the second before.
+    pub stragglers: usize,
+}
+
+impl Around {
+    fn of(history: &History, at_ms: u64) -> Self {
+        Self {
+            unkept: history.unkept_at(at_ms),
+            stragglers: history.stragglers_between(at_ms.saturating_sub(AROUND_MS), at_ms),
+        }
+    }
+}
+
+impl fmt::Display for Around {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.unkept > 0 {
+            let unkept = self.unkept;
+            write!(f, "; {unkept} executors of lost entries were not taken over yet")?;
+        }
+        if self.stragglers > 0 {
+            let stragglers = self.stragglers;
+            write!(f, "; {stragglers} stragglers were stopped in the second before")?;
+        }
+        Ok(())
+    }
+}
+
 /// Whether an executor was unresponsive.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Silent {
@@ -211,6 +302,10 @@
     Yes,
 }
 
+/// Time before a refusal in which stragglers are counted, in milliseconds: about as long as the
+/// longest usual tasks, which they kept from starting.
+const AROUND_MS: u64 = 1_000;
+
 /// A shorter wait at a keeper, in milliseconds, explains no delay.
 const MIN_RELEVANT_WAIT_MS: f64 = 20.0;
 
@@ -255,8 +350,13 @@
         }
         ("refused", "paused") => Cause::HomePaused { node: line.node.clone() },
         ("refused", "overload") => {
-            let text = |field| first(lines, "admit").map_or("", |line| line.text(field)).into();
-            Cause::Overload { foreseen: text("foreseen"), limit: text("limit") }
+            let admit = first(lines, "admit");
+            let text = |field| CompactString::from(admit.map_or("", |line| line.text(field)));
+            let (foreseen, around) = (text("foreseen"), Around::of(history, line.time_ms));
+            match text("floods").as_str() {
+                "surplus" => Cause::Flood { group: text("group"), foreseen, around },
+                _ => Cause::Overload { foreseen, limit: text("limit"), around },
+            }
         }
         ("refused", "cordoned") => Cause::Cordoned,
         ("refused", _) if came_too_late(lines) => {
@@ -268,6 +368,7 @@
             waited: line.text("after").into(),
             waiting: line.number("waiting"),
             room: line.number("room"),
+            around: Around::of(history, line.time_ms),
         },
         ("failed", "executors-crashed") => {
             let (index, executors) = lost_executors(lines, &["executor-crashed"]);
@@ -307,8 +408,8 @@
             && line.text("why") != "cancelled"
     });
     let unended = lines.iter().find(|line| line.text("why") == "cancelled");
-    if let (None, Some(line)) = (went_wrong, unended) {
-        return unended_run(history, line);
+    if let Some(delay) = takeover(history, lines, went_wrong.copied(), answer) {
+        return delay;
     }
     if let Some(line) = went_wrong {
         return Delay::Run {
@@ -317,6 +418,12 @@
             how: describe(history, line),
         };
     }
+    if let Some(delay) = straggler(lines, answer) {
+        return delay;
+    }
+    if let Some(line) = unended {
+        return unended_run(history, line);
+    }
     if let Some(delay) = came_late(lines).or_else(|| handed_back(lines, answer)) {
         return delay;
     }
@@ -333,7 +440,7 @@
         _ if waited >= MIN_RELEVANT_WAIT_MS => Delay::Room { waited: answer.text("waited").into() },
         None => Delay::KeeperLost,
         _ if lines.iter().any(|line| line.kind == "task-ended") => Delay::KeeperLost,
-        _ => Delay::LongTasks,
+        _ => late_run(lines).unwrap_or(Delay::LongTasks),
     }
 }
 
@@ -356,6 +463,53 @@
     took_most.then_some(Delay::HandedBack { index, times })
 }
 
+/// The run whose executor was taken over from a lost entry before the answer: the one that went
+/// wrong, or the first one if none did.
+fn takeover(
+    history: &History,
+    lines: &[&Line],
+    went_wrong: Option<&Line>,
+    answer: &Line,
+) -> Option<Delay> {
+    let is_suspect =
+        |start: &&&Line| went_wrong.is_none_or(|wrong| wrong.text("run") == start.text("run"));
+    let mut starts = lines.iter().filter(|line| line.kind == "start").filter(is_suspect);
+    starts.find_map(|start| {
+        let executor = start.text("executor");
+        let keep = history.takeover_of(executor, start.time_ms, answer.time_ms)?;
+        let lost_at_ms = keep.time_ms as f64 - millis(keep.text("unkept"));
+        let is_cause = went_wrong.is_none_or(|wrong| wrong.time_ms as f64 >= lost_at_ms);
+        is_cause.then(|| Delay::Takeover {
+            run: start.text("run").into(),
+            executor: executor.into(),
+            keeper: keep.node.clone(),
+            unkept: keep.text("unkept").into(),
+        })
+    })
+}
+
+/// The first run that took far longer than its estimate.
+fn straggler(lines: &[&Line], answer: &Line) -> Option<Delay> {
+    let line = first(lines, "straggling").filter(|line| line.time_ms <= answer.time_ms)?;
+    let text = |field| line.text(field).into();
+    let (run, executor) = (text("run"), text("executor"));
+    Some(Delay::Straggler { run, executor, after: text("after"), estimate: text("estimate") })
+}
+
+/// The run that completed latest, at a site whose executors differ in speed.
+fn late_run(lines: &[&Line]) -> Option<Delay> {
+    let runs = lines.iter().filter(|line| line.kind == "late-run");
+    let line = runs.max_by_key(|line| line.time_ms)?;
+    let text = |field| line.text(field).into();
+    let kind = if line.text("kind").is_empty() { "unknown".into() } else { text("kind") };
+    Some(Delay::LateRun {
+        run: text("run"),
+        executor: text("executor"),
+        kind,
+        late_by: text("late_by"),
+    })
+}
+
 /// A run that was stopped only because its job was answered.
 fn unended_run(history: &History, line: &Line) -> Delay {
     let executor = line.text("executor");
@@ -386,6 +540,9 @@
     let how = match line.kind.as_str() {
         "stop-run" => match line.text("why") {
             "overdue" => "ran on for several times its estimate and was stopped",
+            "straggling" => {
+                "was a straggler and was stopped early, since its executor's health was in doubt"
+            }
             "start-lost" => "was started without an answer, is not listed, and was stopped",
             "home-lost" => "was stopped, since its home was not heard of",
             "unconfirmed" => "was stopped, since its home did not confirm its new keeper in time",
@@ -425,7 +582,7 @@
 }
 
 /// Milliseconds of a span such as `15ms`, `2s` or `1234us`.
-fn millis(span: &str) -> f64 {
+pub(crate) fn millis(span: &str) -> f64 {
     let digits = span.trim_end_matches(|c: char| c.is_ascii_alphabetic());
     let number: f64 = digits.parse().unwrap_or(0.0);
     match &span[digits.len()..] {
--- a/components/explain/src/history.rs
+++ b/components/explain/src/history.rs
@@ -1,6 +1,6 @@
 //! The log lines about one job.
 
-use crate::{Cause, Line};
+use crate::{Cause, Line, cause::millis};
 use compact_str::CompactString;
 use std::fmt;
 
@@ -12,7 +12,8 @@
     request: Option<CompactString>,
     /// Lines about the job.
     lines: Vec<Line>,
-    /// Lines about processes that start, stop or pause, and about the executors that entries keep.
+    /// Lines about processes that start, stop or pause, about the executors that entries keep, and
+    /// about stragglers of other jobs.
     process_lines: Vec<Line>,
 }
 
@@ -42,7 +43,7 @@
         let Some(line) = Line::parse(text) else { return };
         if line.concerns(&self.job) {
             self.lines.push(line);
-        } else if matches!(line.kind.as_str(), "starting" | "stopping" | "paused" | "keep") {
+        } else if is_context(&line) {
             self.process_lines.push(line);
         }
     }
@@ -87,6 +88,46 @@
     }
 }
 
+impl History {
+    /// The line about the first takeover of an executor from a lost entry after one
+    /// time and until another.
+    pub(crate) fn takeover_of(&self, executor: &str, from_ms: u64, to_ms: u64) -> Option<&Line> {
+        self.takeovers()
+            .filter(|line| line.text("executor") == executor)
+            .filter(|line| line.time_ms > from_ms && line.time_ms <= to_ms)
+            .min_by_key(|line| line.time_ms)
+    }
+
+    /// Number of executors of lost entries that were not in use again at a time.
+    pub(crate) fn unkept_at(&self, at_ms: u64) -> usize {
+        let began_ms = |line: &Line| line.time_ms as f64 - millis(line.text("unkept"));
+        self.takeovers()
+            .filter(|line| line.time_ms >= at_ms && began_ms(line) <= at_ms as f64)
+            .count()
+    }
+
+    /// Number of runs of other jobs that were stopped as far too long in a time.
+    pub(crate) fn stragglers_between(&self, from_ms: u64, to_ms: u64) -> usize {
+        let stops = self.process_lines.iter().filter(|line| line.kind == "stop-run");
+        stops.filter(|line| line.time_ms >= from_ms && line.time_ms <= to_ms).count()
+    }
+
+    /// Lines about executors that are in use after their keeper was lost.
+    fn takeovers(&self) -> impl Iterator<Item = &Line> {
+        let keeps = self.process_lines.iter().filter(|line| line.kind == "keep");
+        keeps.filter(|line| !line.text("unkept").is_empty())
+    }
+}
+
+/// Whether a line about something else than the job may tell why the job ended as it did.
+fn is_context(line: &Line) -> bool {
+    match line.kind.as_str() {
+        "starting" | "stopping" | "paused" | "keep" => true,
+        "stop-run" => matches!(line.text("why"), "overdue" | "straggling"),
+        _ => false,
+    }
+}
+
 impl fmt::Display for Line {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} {} {}", self.time_ms, self.node, self.kind)?;
--- a/components/explain/tests/causes.rs
+++ b/components/explain/tests/causes.rs
@@ -253,3 +253,91 @@
          request for it took the time"
     );
 }
+
+const OVERLOAD: &str = r#"{"time_ms":1000,"node":"entry-1","decision":"answer","job":"JOB","answer":"refused","why":"overload","after":"0s","waited":"0s","late_by":"0s","waiting":2,"room":0,"route":"/a/"}"#;
+const LATE: &str = r#"{"time_ms":2100,"node":"entry-1","decision":"answer","job":"JOB","answer":"completed","why":"all-done","after":"1100ms","waited":"1ms","late_by":"300ms","waiting":0,"room":3}"#;
+const TAKEOVER: &str = r#"{"time_ms":1900,"node":"entry-3","decision":"keep","executor":"i-7","change":"ready","token":4,"runs":1,"unkept":"910ms"}"#;
+const STRAGGLING: &str = r#"{"time_ms":1400,"node":"entry-2","decision":"straggling","run":"JOB.0.0.1#1","executor":"i-7","after":"397ms","estimate":"200ms"}"#;
+
+fn admit(floods: &str) -> String {
+    format!(
+        r#"{{"time_ms":1000,"node":"entry-1","decision":"admit","job":"JOB","tasks":4,"waiting":2,"foreseen":"81200us","limit":"10ms","group":"short-wide"{floods}}}"#
+    )
+}
+
+/// Guards against callers of a flooding group being told of a general overload.
+#[test]
+fn a_refusal_in_a_flood_names_the_group() {
+    let flooded = admit(r#","floods":"surplus""#);
+    assert!(
+        cause(&[&flooded, OVERLOAD]).contains("jobs of its group (short-wide) arrived far more")
+    );
+    for other in [r#","floods":"usual""#, r#","floods":{"by":3}"#, ""] {
+        let cause = cause(&[&admit(other), OVERLOAD]);
+        assert!(cause.ends_with("and the limit was 10ms"), "{cause}");
+    }
+}
+
+/// Guards against a refusal that seems due to the callers alone while room was lost.
+#[test]
+fn a_refusal_names_room_lost_to_takeovers_and_stragglers() {
+    let during = TAKEOVER.replace("1900", "1500");
+    let before = TAKEOVER.replace("1900", "900").replace("i-7", "i-8");
+    let stop = r#"{"time_ms":700,"node":"entry-2","decision":"stop-run","run":"aa.0.0.1#1","executor":"i-9","why":"straggling"}"#;
+    let cancelled = stop.replace("straggling", "cancelled");
+    let cause = cause(&[&admit(""), OVERLOAD, &during, &before, stop, &cancelled]);
+    assert!(
+        cause.ends_with(
+            "the limit was 10ms; 1 executors of lost entries were not taken over yet; 1 stragglers \
+             were stopped in the second before"
+        ),
+        "{cause}"
+    );
+}
+
+/// Guards against a job that was late through a straggler being told that its tasks were long.
+#[test]
+fn a_job_that_is_late_through_a_straggler_names_it() {
+    let run = format!("run {JOB}.0.0.1#1 at executor i-7");
+    assert_eq!(
+        cause(&[ADMIT, PLACE, START, STRAGGLING, LATE]),
+        format!(
+            "completed 300ms late: {run} was a straggler: it had run for 397ms of an estimated 200ms"
+        )
+    );
+    let stop = r#"{"time_ms":1410,"node":"entry-2","decision":"stop-run","run":"JOB.0.0.1#1","executor":"i-7","why":"straggling"}"#;
+    assert_eq!(
+        cause(&[ADMIT, PLACE, START, STRAGGLING, stop, LATE]),
+        format!(
+            "completed 300ms late: {run} was a straggler and was stopped early, since its executor's \
+             health was in doubt"
+        )
+    );
+}
+
+/// Guards against a job that is late through the loss of a keeper being told of a straggler.
+#[test]
+fn a_job_that_is_late_through_a_takeover_names_it() {
+    let stop = r#"{"time_ms":1901,"node":"entry-3","decision":"stop-run","run":"JOB.0.0.1#1","executor":"i-7","why":"home-lost"}"#;
+    let expected = format!(
+        "completed 300ms late: run {JOB}.0.0.1#1 was at executor i-7, which entry-3 took over from a \
+         lost entry after 910ms without a keeper"
+    );
+    assert_eq!(cause(&[ADMIT, PLACE, START, TAKEOVER, LATE]), expected);
+    assert_eq!(cause(&[ADMIT, PLACE, START, TAKEOVER, stop, LATE]), expected);
+    // The run had failed before the keeper was lost.
+    let failed = r#"{"time_ms":1100,"node":"entry-2","decision":"run-ended","run":"JOB.0.0.1#1","executor":"i-7","how":{"listed":"failed"},"after":"90ms"}"#;
+    let later = TAKEOVER.replace("910ms", "410ms");
+    assert!(cause(&[ADMIT, PLACE, START, failed, &later, LATE]).ends_with("i-7 failed"));
+}
+
+#[test]
+fn a_late_run_names_the_kind_of_its_executor() {
+    let late = r#"{"time_ms":2099,"node":"entry-2","decision":"late-run","run":"JOB.0.0.1#1","executor":"i-7","kind":"slow","late_by":"299ms"}"#;
+    assert_eq!(
+        cause(&[ADMIT, PLACE, START, late, LATE]),
+        format!(
+            "completed 300ms late: run {JOB}.0.0.1#1 at executor i-7 of kind slow ended 299ms late"
+        )
+    );
+}
