Soak: the queue for jobs of any kind stays beside those by kind

Tests of the adapter submit to /jobs/, and one renames the first route of the configuration: it waited without end after the soak's queues had replaced it.

--- a/soak/src/document.rs
+++ b/soak/src/document.rs
@@ -8,6 +8,9 @@
 /// `Host` header of all queues.
 pub const HOST: &str = "shop.example";
 
+/// Path prefix of the queue for jobs of any kind.
+pub const JOBS_PATH: &str = "/jobs/";
+
 /// A kind of job, which has a queue of its own.
 #[derive(Clone, Copy, Debug)]
 pub struct JobKind {
@@ -64,8 +67,9 @@
             "service": SERVICE, "max_attempts": MAX_ATTEMPTS, "stretch": 3.0,
         })
     };
-    let jobs = JOB_KINDS.iter().map(|kind| route("jobs", kind.path));
-    let routes: Vec<_> = jobs.chain([route("marker", &marker_path(version))]).collect();
+    let kinds = JOB_KINDS.iter().map(|kind| route("jobs", kind.path));
+    let others = [route("jobs", JOBS_PATH), route("marker", &marker_path(version))];
+    let routes: Vec<_> = others.into_iter().chain(kinds).collect();
     let config = json!({
         "version": version,
         "routes": routes,
