--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -95,6 +95,7 @@
             limit: estimate.limit,
             group: Group::of(&job),
             floods: estimate.floods,
+            route: job.route.clone(),
         }));
         self.waiters.insert(waiter, key.number);
         self.open.insert(
@@ -364,6 +365,7 @@
             waiting: self.pending_jobs(),
             room: self.peers.with_room(now).map(|(_, room)| room.count(cores)).sum(),
             group: Group::of(&open.job),
+            route: open.job.route.clone(),
         }));
         out.push(Action::Answer { waiter: open.waiter, answer });
         self.cancel_placed(&open, out)
