--- a/lab/src/cmd/compare.rs
+++ b/lab/src/cmd/compare.rs
@@ -50,6 +50,7 @@
         figure("worst kind", Tally::worst_kind);
         figure("worst zone", Tally::worst_data_centre);
         figure("late", |tally| tally.all.late_share());
+        figure("unserved", |tally| tally.all.unserved_share());
         figure("returned", |tally| tally.traffic.returned_share());
         figure("messages", |tally| tally.traffic.messages as f64);
         figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
--- a/lab/src/cmd/run.rs
+++ b/lab/src/cmd/run.rs
@@ -23,6 +23,9 @@
     /// Option of the entries, as NAME=JSON.
     #[arg(long)]
     set: Vec<String>,
+    /// Also prints the statistics of the jobs of every two seconds.
+    #[arg(long)]
+    windows: bool,
 }
 
 /// Simulates the pattern and prints the statistics.
@@ -42,6 +45,7 @@
     figure("worst kind", Tally::worst_kind);
     figure("worst zone", Tally::worst_data_centre);
     figure("cores used", |tally| tally.used);
+    figure("unserved", |tally| tally.all.unserved_share());
     figure("returned", |tally| tally.traffic.returned_share());
     figure("forwarded", |tally| tally.traffic.forwarded as f64);
     figure("messages", |tally| tally.traffic.messages as f64);
@@ -56,13 +60,20 @@
     print_groups(&tallies, |tally| &tally.kinds, name);
     print_groups(&tallies, |tally| &tally.largest, |kind| format!("{}, largest", name(kind)));
     print_groups(&tallies, |tally| &tally.zones, |zone| format!("data centre {zone}"));
+    if options.windows {
+        print_groups(
+            &tallies,
+            |tally| &tally.windows,
+            |window| format!("seconds from {}", window * 2),
+        );
+    }
     Ok(())
 }
 
-fn print_groups(
+fn print_groups<K: Copy + Ord>(
     tallies: &[Tally],
-    groups: impl Fn(&Tally) -> &BTreeMap<usize, Group>,
-    name: impl Fn(&usize) -> String,
+    groups: impl Fn(&Tally) -> &BTreeMap<K, Group>,
+    name: impl Fn(&K) -> String,
 ) {
     let mut keys: Vec<_> = tallies.iter().flat_map(|tally| groups(tally).keys()).collect();
     keys.sort_unstable();
--- a/lab/src/pattern/draw.rs
+++ b/lab/src/pattern/draw.rs
@@ -94,7 +94,7 @@
         let estimate = Span((mean_us * deviation(kind.estimate_off)) as u64);
         let mut lengths: Vec<_> =
             (0..tasks).map(|_| Span((mean_us * deviation(kind.uneven)) as u64)).collect();
-        if let Some(tail) = kind.tail {
+        if let Some(tail) = kind.tail.filter(|tail| at >= tail.from_s) {
             let long = |length: Span| Span((length.0 as f64 * tail.factor) as u64);
             for length in &mut lengths {
                 if random.random_bool(tail.share) {
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -87,6 +87,9 @@
     pub share: f64,
     /// Factor on their run time.
     pub factor: f64,
+    /// From when jobs have them, in seconds.
+    #[serde(default)]
+    pub from_s: f64,
 }
 
 /// A sine wave on the rates.
@@ -216,6 +219,7 @@
             | Fault::Down { executor, .. }
             | Fault::Fails { executor, .. }
             | Fault::Slow { executor, .. }
+            | Fault::Hangs { executor, .. }
             | Fault::Leave { executor } => *executor < executors,
             Fault::Cordon { data_centre, .. } => *data_centre < self.zones.len(),
             Fault::GiveUp => true,
--- a/lab/src/simulation/faults.rs
+++ b/lab/src/simulation/faults.rs
@@ -76,6 +76,10 @@
                 self.after(ms * 1_000, Step::EndFault(fault));
             }
             Fault::GiveUp => self.give_up(),
+            Fault::Hangs { executor, ms, percent } => {
+                self.slots[executor].hang_percent = percent;
+                self.after(ms * 1_000, Step::EndFault(fault));
+            }
         }
     }
 
@@ -130,6 +134,7 @@
         match fault {
             Fault::Fails { executor, .. } => self.slots[executor].fake.fails = false,
             Fault::Slow { executor, .. } => self.slots[executor].fake.duration_factor = 1,
+            Fault::Hangs { executor, .. } => self.slots[executor].hang_percent = 0,
             Fault::Cordon { data_centre, .. } => self.set_cordon(data_centre, false),
             Fault::Blind { .. } => self.publish_cordons(),
             _ => {}
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -69,6 +69,8 @@
     executor: Executor,
     fake: ExecutorState,
     incarnation: u32,
+    /// Part of the tasks started from now on that hang.
+    hang_percent: u32,
 }
 
 struct Caller {
@@ -194,6 +196,7 @@
                 random.random_range(0..1_000_000),
             ),
             incarnation: 0,
+            hang_percent: 0,
         });
         let slots = slots.collect();
         let mut simulation = Self {
@@ -326,6 +329,7 @@
                     executor: executor(&self.plan, slot, incarnation),
                     fake: ExecutorState::new(capacity(&self.plan, slot), 10, offset),
                     incarnation,
+                    hang_percent: 0,
                 };
                 self.publish_executors();
             }
--- a/lab/src/simulation/orders.rs
+++ b/lab/src/simulation/orders.rs
@@ -12,6 +12,9 @@
 /// Replaces the sender's incarnation in an order whose response is not awaited any more.
 const NO_SENDER: Incarnation = Incarnation(u64::MAX);
 
+/// Run time of a task that hangs: beyond the end of any simulation.
+const HANG_US: u64 = 24 * 3_600_000_000;
+
 impl Simulation {
     pub(super) fn order(&mut self, node: usize, incarnation: Incarnation, order: Order) {
         let now = self.now;
@@ -66,7 +69,9 @@
             Order::Start(start) => {
                 let (length, needs) = self.load(slot, &start.run);
                 let before = self.slots[slot].fake.running.contains_key(&start.run);
-                let reply = self.slots[slot].fake.start(now, start, needs, length);
+                let hangs = !before && self.hangs(slot);
+                let run_time = if hangs { HANG_US } else { length };
+                let reply = self.slots[slot].fake.start(now, start, needs, run_time);
                 if matches!(reply, StartResponse::Running { .. }) && !before {
                     self.begun_work += length * u64::from(needs.cores.0);
                     self.check_start(slot, &start.run);
@@ -105,6 +110,12 @@
         (length.0 * percent / 100, work.needs)
     }
 
+    /// Draws whether a task that starts now hangs.
+    fn hangs(&mut self, slot: usize) -> bool {
+        let percent = self.slots[slot].hang_percent;
+        percent > 0 && self.random.random_ratio(percent.min(100), 100)
+    }
+
     pub(super) fn check_start(&mut self, slot: usize, run: &Run) {
         self.starts += 1;
         let now = self.now;
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -170,6 +170,16 @@
     },
     /// All callers with open jobs leave.
     GiveUp,
+    /// An executor lets a part of the tasks that it starts hang: they don't end before they are
+    /// stopped, or before its lease does.
+    Hangs {
+        /// Index of the executor.
+        executor: usize,
+        /// Duration in milliseconds.
+        ms: u64,
+        /// Part of its tasks, in percent.
+        percent: u32,
+    },
 }
 
 impl Default for Plan {
