runs: stragglers, and executors that are doubted get less

Cause: executors that hang a part of their tasks are used as others are, and a hung task is stopped only after 3 or 5 times its estimate. Change: keeper/overdue.rs has the limit of a run's time, and stragglers. A run that is listed after twice its expected time is reported to health once. On an executor that health doubts it is stopped at once while a new run can still end before its caller gives up. A doubted executor is chosen last and gets one task at a time.

--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -105,7 +105,8 @@
         | Decision::Place { .. }
         | Decision::Forward { .. }
         | Decision::Start { .. }
-        | Decision::LateRun { .. } => true,
+        | Decision::LateRun { .. }
+        | Decision::Straggling { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
         Decision::RunEnded { how, .. } => matches!(how, Ending::Unsent | Ending::Refused),
         // A task may be handed back many times before it starts.
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -7,7 +7,7 @@
 };
 use runs::{
     Decision,
-    action::Outlook,
+    action::{Outlook, StopCause},
     demand::Group,
     executor::{Kind, Response, StartResponse},
     job::Answer,
@@ -44,6 +44,8 @@
     cordons: Gauge<u64>,
     cordons_since: Gauge<f64>,
     speeds: Gauge<u64>,
+    straggling: Counter<u64>,
+    stopped_early: Counter<u64>,
 }
 
 impl Metrics {
@@ -98,6 +100,11 @@
                 .u64_gauge("executor_speed_percent")
                 .with_description("Run time on executors of a kind, in percent of the estimate")
                 .build(),
+            straggling: counter("runs_straggling", "Runs that took longer than estimates allow"),
+            stopped_early: counter(
+                "runs_stopped_early",
+                "Stragglers stopped on doubtful executors",
+            ),
             exporter,
         })
     }
@@ -147,6 +154,10 @@
                 let kind = KeyValue::new("kind", kind.to_string());
                 self.speeds.record(u64::from(factor.0), &[kind]);
             }
+            Decision::Straggling { .. } => self.straggling.add(1, &[]),
+            Decision::StopRun { why: StopCause::Straggling, .. } => {
+                self.stopped_early.add(1, &[]);
+            }
             _ => {}
         }
     }
--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -247,6 +247,17 @@
         /// How long it did not run.
         span: Span,
     },
+    /// A run takes longer than its estimate allows.
+    Straggling {
+        /// The run, as task name and run number.
+        run: CompactString,
+        /// Name of the executor.
+        executor: CompactString,
+        /// Time since its start was sent.
+        after: Span,
+        /// The caller's estimate.
+        estimate: Span,
+    },
 }
 
 fn text<S: Serializer>(value: &impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
--- a/components/runs/src/action/reason.rs
+++ b/components/runs/src/action/reason.rs
@@ -51,6 +51,8 @@
     Overdue,
     /// This entry found it on the executor and does not know its task.
     Unknown,
+    /// It took longer than its estimate allows, on an executor whose health is in doubt.
+    Straggling,
 }
 
 /// Why a caller got its answer.
--- a/components/runs/src/keeper/choice.rs
+++ b/components/runs/src/keeper/choice.rs
@@ -83,8 +83,10 @@
                 && lease.has_room_for(queued)
                 && now + slowed(queued.estimate, lease.slowness) <= queued.give_up
         };
-        let rank =
-            |lease: &&Lease| ((lease.slowness * SLOWNESS_STEPS) as u32, lease.rank_of_fit(queued));
+        let rank = |lease: &&Lease| {
+            let slowness = (lease.slowness * SLOWNESS_STEPS) as u32;
+            (self.is_doubted(lease.executor.id), slowness, lease.rank_of_fit(queued))
+        };
         let best = self.leases.values().filter(suits).min_by_key(rank)?;
         Some(Chosen {
             executor: best.executor.id,
@@ -114,7 +116,7 @@
         let rank = |lease: &&&Lease| {
             let class = classes.index(lease.speed);
             let speed = if fastest_first { class } else { classes.len() - class };
-            (speed, lease.rank_of_fit(queued))
+            (self.is_doubted(lease.executor.id), speed, lease.rank_of_fit(queued))
         };
         let best = open.iter().filter(suits).min_by_key(rank)?;
         Some(Chosen {
@@ -171,7 +173,7 @@
         lease.is_usable(now)
             && lease.executor.service == queued.service
             && lease.executor.capacity.fits(&queued.needs)
-            && self.allows_starts(&lease.executor)
+            && self.allows_starts(lease)
             && !queued.avoid.contains(&lease.executor.id)
             && queued.label.as_ref().is_none_or(|label| lease.executor.labels.contains(label))
             && queued
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -130,6 +130,8 @@
     pub(crate) inherited: bool,
     /// Why it is being stopped.
     pub(crate) stop: Option<StopCause>,
+    /// Whether it has taken longer than its estimate allows, and health was told.
+    pub(crate) is_straggling: bool,
     /// How it ends if its executor never lists it again: a crash if its incarnation is known to
     /// have ended under it.
     pub(crate) end_if_lost: End,
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -5,6 +5,7 @@
 mod forward;
 mod incarnation;
 mod lease;
+mod overdue;
 mod poll;
 mod queue;
 mod room;
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -244,16 +244,8 @@
         if lease.missed_polls > 0 && !lease.runs.is_empty() && lease.has_expired(now) {
             return self.lease_expired(now, id, out);
         }
-        let slowness = self.expected_slowness(lease);
-        let overdue = |live: &TrackedRun| {
-            let factor = match lease.last_completed > live.sent {
-                true => self.options.overdue_factor_working,
-                false => self.options.overdue_factor,
-            };
-            let limit = Span(slowness.run_time(live.estimate).0 * factor);
-            let seen = live.seen.unwrap_or(live.sent);
-            seen.since(live.sent) > limit + self.options.overdue_margin
-        };
+        self.report_stragglers(now, id, out);
+        let Some(lease) = self.leases.get(&id) else { return };
         let has_ended = |live: &TrackedRun| match live.state {
             State::Stopped { since } => live.seen.is_none() && since + self.options.stop_time < now,
             _ => false,
@@ -268,7 +260,7 @@
             State::StopAgain { at } if at <= now => live.stop,
             State::Starting if live.sent + start_timeout < now => Some(StopCause::StartLost),
             State::Running { .. } if live.task.is_none() => Some(StopCause::Unknown),
-            State::Running { .. } if overdue(live) => Some(StopCause::Overdue),
+            State::Running { .. } => self.time_stop(now, lease, live),
             _ => None,
         };
         let due_stops: Vec<_> = lease
@@ -383,6 +375,7 @@
             seen: Some(now),
             inherited: true,
             stop: None,
+            is_straggling: false,
             end_if_lost: End::ExecutorLost,
         }
     }
--- a/components/runs/src/keeper/room.rs
+++ b/components/runs/src/keeper/room.rs
@@ -106,14 +106,15 @@
     fn is_usable_soon(&self, now: Time, lease: &Lease) -> bool {
         let is_coming = matches!(lease.phase, Phase::Claiming { .. } | Phase::Polling);
         self.is_configured(lease.executor.service)
-            && self.allows_starts(&lease.executor)
+            && self.allows_starts(lease)
             && (lease.is_usable(now)
                 || is_coming && !lease.executor.leaving && !lease.gone && lease.missed_polls == 0)
     }
 
     /// Whether health and cordon allow starts on an executor.
-    pub(super) fn allows_starts(&self, executor: &Executor) -> bool {
-        self.health.is_open(executor.id) && !self.cordon.covers(executor.data_centre)
+    pub(super) fn allows_starts(&self, lease: &Lease) -> bool {
+        let Executor { id, data_centre, .. } = lease.executor;
+        self.health.is_open(id) && !self.cordon.covers(data_centre) && self.spares_doubted(lease)
     }
 
     /// Executors that may get a task now if they have room for it.
@@ -121,7 +122,7 @@
         self.leases.values().filter(move |lease| {
             lease.is_usable(now)
                 && self.is_configured(lease.executor.service)
-                && self.allows_starts(&lease.executor)
+                && self.allows_starts(lease)
         })
     }
 }
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -75,6 +75,7 @@
             seen: None,
             inherited: false,
             stop: None,
+            is_straggling: false,
             end_if_lost: End::ExecutorLost,
         };
         lease.insert(queued.run.clone(), live);
--- a/components/runs/src/keeper/stop.rs
+++ b/components/runs/src/keeper/stop.rs
@@ -133,13 +133,13 @@
                 Observation::Done { elapsed: now.since(live.sent), expected: live.estimate }
             }
             (End::Failed, _) => Observation::Failed,
-            _ if live.stop == Some(StopCause::Overdue) => Observation::TimedOut,
+            _ if matches!(live.stop, Some(StopCause::Overdue | StopCause::Straggling)) => {
+                Observation::TimedOut
+            }
             (_, Ending::LeaseOver) => Observation::Lost,
             _ => return self.health.release(id),
         };
-        let cause = live.task.map(|task| Cause(task.job.number ^ task.job.home.incarnation.0));
-        let attempt = Attempt { started: Some(live.sent), cause };
-        let change = self.health.observe_attempt(now, id, what, attempt);
+        let change = self.health.observe_attempt(now, id, what, live.attempt());
         self.record_health(id, change, out);
     }
 
@@ -157,3 +157,11 @@
         out.push(Action::Log(Decision::Health { executor, change, ratio }));
     }
 }
+
+impl TrackedRun {
+    /// What health is told of the attempt, besides its outcome.
+    pub(super) fn attempt(&self) -> Attempt {
+        let cause = self.task.map(|task| Cause(task.job.number ^ task.job.home.incarnation.0));
+        Attempt { started: Some(self.sent), cause }
+    }
+}
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -139,6 +139,7 @@
             seen: listed.and_then(|live| live.seen),
             inherited: true,
             stop: listed.and_then(|live| live.stop),
+            is_straggling: false,
             end_if_lost: End::ExecutorLost,
         }
     }
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -219,6 +219,10 @@
     pub report_interval_keepers: Span,
     /// When an executor that fails or hangs is isolated.
     pub health_rule: HealthRule,
+    /// Whether runs that take longer than their estimate allows are reported to health, and are
+    /// stopped early on executors that health doubts, and whether such an executor gets one task at
+    /// a time, and only if no other has room.
+    pub stragglers: bool,
 }
 
 impl Options {
@@ -341,6 +345,7 @@
             forward_peers: 8,
             report_interval_keepers: Span::from_millis(15),
             health_rule: HealthRule::Likelihood,
+            stragglers: true,
         }
     }
 }
--- a/components/runs/src/speed/mod.rs
+++ b/components/runs/src/speed/mod.rs
@@ -319,6 +319,11 @@
         if self.is_uneven { self.fit.fixed() } else { Span::ZERO }
     }
 
+    /// The same, also while the kinds are not known to differ.
+    pub(crate) fn measured_fixed(&self) -> Span {
+        self.fit.fixed()
+    }
+
     /// The expected time from the start order on an executor until the end is known here.
     pub fn run_time(&self, executor: &Executor, estimate: Span) -> Span {
         self.fixed() + self.factor(executor).run_time(estimate)
--- a/components/runs/tests/common/executors.rs
+++ b/components/runs/tests/common/executors.rs
@@ -53,6 +53,8 @@
     pub(crate) decisions: Vec<Decision>,
     /// Number of stops that were carried out.
     stops: usize,
+    /// Number of further stops that are lost.
+    pub(crate) lost_stops: usize,
     jobs: u64,
 }
 
@@ -73,6 +75,7 @@
             answers: Vec::new(),
             decisions: Vec::new(),
             stops: 0,
+            lost_stops: 0,
             jobs: 0,
         };
         scene.handle(Event::Members { revision: Revision(41), members: vec![me] });
@@ -129,6 +132,10 @@
             }
             Action::Stop { executor, run, .. } => {
                 let reply = match self.executors[&executor].process {
+                    _ if self.lost_stops > 0 => {
+                        self.lost_stops -= 1;
+                        Response::Silent
+                    }
                     Process::Up | Process::Refusing(_) => {
                         self.stops += 1;
                         Response::Done(())
@@ -251,9 +258,13 @@
     }
 
     pub(crate) fn end_all(&mut self) {
+        self.end_all_as(RunResult::Done);
+    }
+
+    pub(crate) fn end_all_as(&mut self, result: RunResult) {
         for run in std::mem::take(&mut self.running) {
             let number = self.ended.len() as u64 + 1;
-            self.ended.push(Ended { number, run: Some(run), result: RunResult::Done });
+            self.ended.push(Ended { number, run: Some(run), result });
         }
     }
 }
--- a/lab/src/cmd/compare.rs
+++ b/lab/src/cmd/compare.rs
@@ -28,6 +28,9 @@
     /// Option of the second policy only, as NAME=JSON.
     #[arg(long, required = true)]
     set: Vec<String>,
+    /// Also counts the jobs of some seconds that were not served, as FROM-UNTIL in even seconds.
+    #[arg(long, value_parser = parse_seconds)]
+    within: Vec<(u64, u64)>,
 }
 
 /// Simulates both policies and prints the differences.
@@ -56,6 +59,22 @@
         figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
         figure("refused", |tally| tally.all.refused_share());
         figure("had room", |tally| tally.all.had_room as f64 / tally.all.jobs.max(1) as f64);
+        for (from, until) in &options.within {
+            let windows = from / 2..until / 2;
+            let count = |name: &str, count: fn(&Group) -> usize| {
+                let sum = |tally: &Tally| {
+                    let groups = tally.windows.range(windows.clone());
+                    groups.map(|(_, group)| count(group)).sum::<usize>() as f64
+                };
+                let (a, b) = (trial::mean(&first, sum), trial::mean(&second, sum));
+                let difference = Difference::new(&first, &second, sum);
+                println!("  {from}-{until} s, {name:10} {a:.1} {b:.1}  {difference}");
+            };
+            count("unserved", Group::unserved);
+            count("no result", |group| group.failed + group.given_up);
+            count("refused", |group| group.refused);
+            count("in time", |group| group.in_time);
+        }
         let refused = |name: &str, groups: fn(&Tally) -> &BTreeMap<usize, Group>| {
             let shares = |tallies: &[Tally]| refused_shares(tallies, groups);
             println!("  refused by {name}: {} then {}", shares(&first), shares(&second));
@@ -78,3 +97,8 @@
     };
     keys.into_iter().map(mean).collect::<Vec<_>>().join(" ")
 }
+
+fn parse_seconds(text: &str) -> Result<(u64, u64), String> {
+    let parsed = text.split_once('-').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    parsed.ok_or_else(|| format!("`{text}` is not FROM-UNTIL"))
+}
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -108,10 +108,14 @@
         self.refused as f64 / self.jobs.max(1) as f64
     }
 
-    /// Returns the part of the admitted jobs that failed, were given up or were late.
+    /// Returns the number of admitted jobs that failed, were given up or were late.
+    pub fn unserved(&self) -> usize {
+        self.failed + self.given_up + self.late
+    }
+
+    /// Returns their part of the admitted jobs.
     pub fn unserved_share(&self) -> f64 {
-        let unserved = self.failed + self.given_up + self.late;
-        unserved as f64 / (unserved + self.in_time).max(1) as f64
+        self.unserved() as f64 / (self.unserved() + self.in_time).max(1) as f64
     }
 
     /// Returns the part of the completed jobs that were late.
