--- a/components/runner/src/decision_log.rs
+++ b/components/runner/src/decision_log.rs
@@ -106,7 +106,8 @@
         | Decision::Forward { .. }
         | Decision::Start { .. }
         | Decision::Peer { .. }
-        | Decision::LateRun { .. } => true,
+        | Decision::LateRun { .. }
+        | Decision::Straggling { .. } => true,
         Decision::Answer { answer, .. } => *answer == "completed",
         Decision::RunEnded { how, .. } => matches!(how, Ending::Unsent | Ending::Refused),
         // A task may be handed back many times before it starts.
--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -7,7 +7,7 @@
 };
 use runs::{
     Decision,
-    action::Outlook,
+    action::{Outlook, StopCause},
     demand::Group,
     executor::{Kind, Response, StartResponse},
     job::Answer,
@@ -48,6 +48,8 @@
     placed_far: Counter<u64>,
     floods: Counter<u64>,
     routes: RouteLabels,
+    straggling: Counter<u64>,
+    stopped_early: Counter<u64>,
 }
 
 impl Metrics {
@@ -121,6 +123,11 @@
                 "Jobs of flooding classes, by length, number of tasks and part of the flood",
             ),
             routes: RouteLabels::default(),
+            straggling: counter("runs_straggling", "Runs that took longer than estimates allow"),
+            stopped_early: counter(
+                "runs_stopped_early",
+                "Stragglers stopped on doubtful executors",
+            ),
             exporter,
         })
     }
@@ -183,6 +190,10 @@
                 let kind = KeyValue::new("kind", kind.to_string());
                 self.speeds.record(u64::from(factor.0), &[kind]);
             }
+            Decision::Straggling { .. } => self.straggling.add(1, &[]),
+            Decision::StopRun { why: StopCause::Straggling, .. } => {
+                self.stopped_early.add(1, &[]);
+            }
             _ => {}
         }
     }
--- a/components/runs/src/options.rs
+++ b/components/runs/src/options.rs
@@ -225,6 +225,10 @@
     /// A class of jobs floods if its arrivals exceed this percentage of the usual ones: those
     /// beyond the usual ones are rejected first. 0 disables it.
     pub flood_percent: u64,
+    /// Whether runs that take longer than their estimate allows are reported to health, and are
+    /// stopped early on executors that health doubts, and whether such an executor gets one task at
+    /// a time, and only if no other has room.
+    pub stragglers: bool,
 }
 
 impl Options {
@@ -349,6 +353,7 @@
             avoid_unresponsive: true,
             health_rule: HealthRule::Likelihood,
             flood_percent: 200,
+            stragglers: true,
         }
     }
 }
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -116,6 +116,16 @@
         self.refused as f64 / self.jobs.max(1) as f64
     }
 
+    /// Returns the number of admitted jobs that failed, were given up or were late.
+    pub fn unserved(&self) -> usize {
+        self.failed + self.given_up + self.late
+    }
+
+    /// Returns their part of the admitted jobs.
+    pub fn unserved_share(&self) -> f64 {
+        self.unserved() as f64 / (self.unserved() + self.in_time).max(1) as f64
+    }
+
     /// Returns the part of the completed jobs that were late.
     pub fn late_share(&self) -> f64 {
         self.late as f64 / (self.late + self.in_time).max(1) as f64
