--- a/components/runner/src/metrics.rs
+++ b/components/runner/src/metrics.rs
@@ -1,13 +1,13 @@
 //! The metrics of an entry.
 
-use crate::decision_log::unix_ms;
+use crate::{decision_log::unix_ms, routes::RouteLabels};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
 use runs::{
     Decision,
-    action::Outlook,
+    action::{Outlook, StopCause},
     demand::Group,
     executor::{Kind, Response, StartResponse},
     job::Answer,
@@ -45,6 +45,11 @@
     cordons_since: Gauge<f64>,
     speeds: Gauge<u64>,
     unresponsive: Counter<u64>,
+    placed_far: Counter<u64>,
+    floods: Counter<u64>,
+    routes: RouteLabels,
+    straggling: Counter<u64>,
+    stopped_early: Counter<u64>,
 }
 
 impl Metrics {
@@ -62,13 +67,19 @@
             starts: counter("run_starts", "Starts sent to executors, by response"),
             polls: counter("executor_looks", "Polls of executors, by response"),
             stops: counter("run_stops", "Stops sent to executors, by response"),
-            failures: counter("run_failures", "Runs that ended otherwise than well"),
+            failures: counter(
+                "run_failures",
+                "Runs that ended otherwise than well, by end and health of the executor",
+            ),
             choices: counter("run_choices", "Starts by kind of executor and outlook"),
             late_runs: counter("runs_late", "Runs that completed after the deadline, by kind"),
             forwards: counter("task_forwards", "Tasks handed to another keeper for lack of room"),
             returned: counter("tasks_returned", "Tasks that keepers returned unstarted"),
             store: counter("store_calls", "Calls to the platform's store, by outcome"),
-            refused: counter("jobs_refused", "Jobs refused, by task length and number of tasks"),
+            refused: counter(
+                "jobs_refused",
+                "Jobs refused, by route, task length and number of tasks",
+            ),
             admission_limit: meter
                 .f64_gauge("admission_limit_seconds")
                 .with_description(
@@ -103,6 +114,20 @@
                 "peers_unresponsive",
                 "Times that a peer stopped to acknowledge what was sent to it",
             ),
+            placed_far: counter(
+                "tasks_placed_far",
+                "Tasks that this entry's jobs sent to other data centres, by data centre",
+            ),
+            floods: counter(
+                "admission_floods",
+                "Jobs of flooding classes, by length, number of tasks and part of the flood",
+            ),
+            routes: RouteLabels::default(),
+            straggling: counter("runs_straggling", "Runs that took longer than estimates allow"),
+            stopped_early: counter(
+                "runs_stopped_early",
+                "Stragglers stopped on doubtful executors",
+            ),
             exporter,
         })
     }
@@ -123,7 +148,10 @@
 
     pub(crate) fn decided(&self, decision: &Decision) {
         match decision {
-            Decision::RunEnded { .. } => self.failures.add(1, &[]),
+            Decision::RunEnded { how, health, .. } => {
+                let end = KeyValue::new("end", how.as_str());
+                self.failures.add(1, &[end, KeyValue::new("health", health.as_str())]);
+            }
             Decision::Start { kind, outlook: Some(outlook), .. } => {
                 let outlook = match outlook {
                     Outlook::InTime => "in-time",
@@ -133,17 +161,26 @@
                     .add(1, &[kind_label(kind.as_ref()), KeyValue::new("outlook", outlook)]);
             }
             Decision::LateRun { kind, .. } => self.late_runs.add(1, &[kind_label(kind.as_ref())]),
+            Decision::Place { tasks, far: Some(far), .. } => {
+                let far = KeyValue::new("data_centre", far.to_string());
+                self.placed_far.add(*tasks as u64, &[far]);
+            }
             Decision::Forward { .. } => self.forwards.add(1, &[]),
             Decision::Peer { responsive: false, .. } => self.unresponsive.add(1, &[]),
             Decision::TaskEnded { end: End::NotRun, .. } => self.returned.add(1, &[]),
             Decision::Keep { unkept: Some(unkept), .. } => {
                 self.unkept.record(unkept.0 as f64 / 1e6, &[]);
             }
-            Decision::Admit { limit, group, .. } => {
+            Decision::Admit { limit, group, floods, .. } => {
                 self.admission_limit.record(limit.0 as f64 / 1e6, &labels(*group));
+                if let Some(part) = floods {
+                    let [length, width] = labels(*group);
+                    self.floods.add(1, &[length, width, KeyValue::new("part", part.as_str())]);
+                }
             }
-            Decision::Answer { answer: "refused", group, .. } => {
-                self.refused.add(1, &labels(*group));
+            Decision::Answer { answer: "refused", group, route, .. } => {
+                let [length, width] = labels(*group);
+                self.refused.add(1, &[length, width, self.routes.label(route.as_ref())]);
             }
             Decision::Cordon { data_centres, .. } => {
                 self.cordons.record(data_centres.len() as u64, &[]);
@@ -153,6 +190,10 @@
                 let kind = KeyValue::new("kind", kind.to_string());
                 self.speeds.record(u64::from(factor.0), &[kind]);
             }
+            Decision::Straggling { .. } => self.straggling.add(1, &[]),
+            Decision::StopRun { why: StopCause::Straggling, .. } => {
+                self.stopped_early.add(1, &[]);
+            }
             _ => {}
         }
     }
--- a/components/runs/src/action/decision.rs
+++ b/components/runs/src/action/decision.rs
@@ -1,9 +1,10 @@
 //! Decisions, for the decision log.
 
-use super::{Ending, KeepChange, Outlook, Reason, Source, StopCause};
+use super::{Ending, ExecutorHealth, Flood, KeepChange, Outlook, Reason, Source, StopCause};
 use crate::{
     demand::Group,
     executor::{Kind, Refusal},
+    job::Route,
     message::End,
     speed::Factor,
 };
@@ -41,6 +42,12 @@
         /// The job's group among those that compete for scarce capacity.
         #[serde(serialize_with = "text")]
         group: Group,
+        /// The part of a flooding class that the job counts in; `None` if its classes don't flood.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        floods: Option<Flood>,
+        /// The queue that it was submitted to.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        route: Option<Route>,
     },
     /// Tasks of a job were sent to a keeper.
     Place {
@@ -55,6 +62,9 @@
         room: u32,
         /// Age of that report.
         age: Span,
+        /// The keeper's data centre, if it is not that of this entry.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        far: Option<DataCentreId>,
     },
     /// A keeper handed a task that it can't start to another one.
     Forward {
@@ -119,6 +129,8 @@
         /// Time since the executor last confirmed or listed it; `None` if it never did, so that it
         /// may not have begun.
         last_seen: Option<Span>,
+        /// Health of the executor before this end was taken into account.
+        health: ExecutorHealth,
     },
     /// A run was stopped.
     StopRun {
@@ -171,6 +183,9 @@
         /// The job's group among those that compete for scarce capacity.
         #[serde(serialize_with = "text")]
         group: Group,
+        /// The queue that it was submitted to.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        route: Option<Route>,
     },
     /// A caller left before its answer.
     Left {
@@ -255,6 +270,17 @@
         /// How long it did not run.
         span: Span,
     },
+    /// A run takes longer than its estimate allows.
+    Straggling {
+        /// The run, as task name and run number.
+        run: CompactString,
+        /// Name of the executor.
+        executor: CompactString,
+        /// Time since its start was sent.
+        after: Span,
+        /// The caller's estimate.
+        estimate: Span,
+    },
 }
 
 fn text<S: Serializer>(value: &impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
--- a/lab/src/cmd/compare.rs
+++ b/lab/src/cmd/compare.rs
@@ -28,6 +28,9 @@
     /// Option of the second policy only, as NAME=JSON.
     #[arg(long, required = true)]
     set: Vec<String>,
+    /// Also counts the jobs of some seconds that were not served, as FROM-UNTIL in even seconds.
+    #[arg(long, value_parser = parse_seconds)]
+    within: Vec<(u64, u64)>,
 }
 
 /// Simulates both policies and prints the differences.
@@ -37,6 +40,7 @@
         pattern.load *= options.load;
         let second = cmd::with_options(&pattern, &options.set)?;
         let offered = pattern.offered() * 100.0;
+        let has_bursts = !pattern.bursts.is_empty();
         let mut played = trial::play_all(&[pattern, second], 0..options.seeds).into_iter();
         let (Some(first), Some(second)) = (played.next(), played.next()) else { continue };
         println!("{} ({offered:.0}% offered)", path.display());
@@ -50,18 +54,42 @@
         figure("worst kind", Tally::worst_kind);
         figure("worst zone", Tally::worst_data_centre);
         figure("late", |tally| tally.all.late_share());
+        figure("retries", |tally| tally.retries);
+        figure("unserved", |tally| tally.all.unserved_share());
         figure("returned", |tally| tally.traffic.returned_share());
         figure("messages", |tally| tally.traffic.messages as f64);
         figure("kB sent", |tally| tally.traffic.bytes as f64 / 1e3);
+        figure("placed far", |tally| tally.traffic.far_share());
+        figure("kB sent far", |tally| tally.traffic.bytes_far as f64 / 1e3);
         figure("refused", |tally| tally.all.refused_share());
         figure("had room", |tally| tally.all.had_room as f64 / tally.all.jobs.max(1) as f64);
+        for (from, until) in &options.within {
+            let windows = from / 2..until / 2;
+            let count = |name: &str, count: fn(&Group) -> usize| {
+                let sum = |tally: &Tally| {
+                    let groups = tally.windows.range(windows.clone());
+                    groups.map(|(_, group)| count(group)).sum::<usize>() as f64
+                };
+                let (a, b) = (trial::mean(&first, sum), trial::mean(&second, sum));
+                let difference = Difference::new(&first, &second, sum);
+                println!("  {from}-{until} s, {name:10} {a:.1} {b:.1}  {difference}");
+            };
+            count("unserved", Group::unserved);
+            count("no result", |group| group.failed + group.given_up);
+            count("refused", |group| group.refused);
+            count("in time", |group| group.in_time);
+        }
         let refused = |name: &str, groups: fn(&Tally) -> &BTreeMap<usize, Group>| {
             let shares = |tallies: &[Tally]| refused_shares(tallies, groups);
             println!("  refused by {name}: {} then {}", shares(&first), shares(&second));
         };
         refused("kind", |tally| &tally.kinds);
+        if has_bursts {
+            refused("kind in bursts", |tally| &tally.bursts);
+        }
         refused("width", |tally| &tally.widths);
         refused("data centre", |tally| &tally.zones);
+        refused("data centre at the peak", |tally| &tally.peak_zones);
     }
     Ok(())
 }
@@ -77,3 +105,8 @@
     };
     keys.into_iter().map(mean).collect::<Vec<_>>().join(" ")
 }
+
+fn parse_seconds(text: &str) -> Result<(u64, u64), String> {
+    let parsed = text.split_once('-').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    parsed.ok_or_else(|| format!("`{text}` is not FROM-UNTIL"))
+}
--- a/lab/src/pattern/draw.rs
+++ b/lab/src/pattern/draw.rs
@@ -1,7 +1,7 @@
 //! Draws the arrivals of a simulation from a pattern and a seed.
 
 use super::{Kind, Pattern};
-use crate::simulation::{Arrival, Plan, service};
+use crate::simulation::{Arrival, DataCentre, Plan, service};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp1, weighted::WeightedIndex};
@@ -35,6 +35,8 @@
             lost_orders: self.lost_orders,
             faults: self.faults.iter().map(|timed| (timed.at_ms, timed.fault)).collect(),
             options: self.options,
+            retries: self.retries,
+            retry_after_s: self.retry_after_s,
             ..Plan::default()
         }
     }
@@ -67,13 +69,40 @@
         arrivals
     }
 
+    /// Returns the rate of a data centre at a time, as a multiple of its mean rate, without bursts.
+    fn swing(&self, data_centre: usize, at: f64) -> f64 {
+        self.swing.map_or(1.0, |swing| {
+            let phase = (at - swing.shift_s * data_centre as f64) / swing.period_s;
+            1.0 + swing.part * (TAU * phase).sin()
+        })
+    }
+
+    /// Returns the weights of the data centres at a time.
+    fn shares(&self, at: f64) -> Vec<f64> {
+        let is_shifted = self.swing.is_some_and(|swing| swing.shift_s != 0.0);
+        let zones = self.zones.iter().enumerate();
+        let weight = |(index, zone): (usize, &DataCentre)| match is_shifted {
+            true => zone.share * self.swing(index, at),
+            false => zone.share,
+        };
+        zones.map(weight).collect()
+    }
+
+    fn is_in_burst(&self, at: f64) -> bool {
+        self.bursts.iter().any(|burst| burst.contains(at))
+    }
+
     /// Returns the rate of a kind at a time, as a multiple of its mean rate.
     fn rate(&self, kind: usize, at: f64) -> f64 {
-        let swing =
-            self.swing.map_or(1.0, |swing| 1.0 + swing.part * (TAU * at / swing.period_s).sin());
-        let is_on = |from: f64, span: f64| (from..from + span).contains(&at);
+        let swing = match self.swing {
+            Some(swing) if swing.shift_s != 0.0 => {
+                let all: f64 = self.zones.iter().map(|zone| zone.share).sum();
+                self.shares(at).iter().sum::<f64>() / all
+            }
+            _ => self.swing(0, at),
+        };
         let bursts = self.bursts.iter().filter(|burst| burst.kind.is_none_or(|only| only == kind));
-        let bursts = bursts.filter(|burst| is_on(burst.at_s, burst.for_s)).map(|burst| burst.x);
+        let bursts = bursts.filter(|burst| burst.contains(at)).map(|burst| burst.x);
         swing * bursts.product::<f64>()
     }
 
@@ -85,8 +114,8 @@
     }
 
     fn arrival(&self, number: usize, kind: &Kind, at: f64, random: &mut ChaCha8Rng) -> Arrival {
-        let shares = self.zones.iter().map(|zone| zone.share);
-        let data_centre = WeightedIndex::new(shares).map_or(0, |zones| zones.sample(random));
+        let shares = WeightedIndex::new(self.shares(at));
+        let data_centre = shares.map_or(0, |zones| zones.sample(random));
         let caller = random.random_range(0..CALLERS_PER_DATA_CENTRE);
         let tasks = kind.tasks.draw(random).round() as u16;
         let mean_us = kind.task_ms.draw(random) * 1_000.0;
@@ -94,7 +123,7 @@
         let estimate = Span((mean_us * deviation(kind.estimate_off)) as u64);
         let mut lengths: Vec<_> =
             (0..tasks).map(|_| Span((mean_us * deviation(kind.uneven)) as u64)).collect();
-        if let Some(tail) = kind.tail {
+        if let Some(tail) = kind.tail.filter(|tail| at >= tail.from_s) {
             let long = |length: Span| Span((length.0 as f64 * tail.factor) as u64);
             for length in &mut lengths {
                 if random.random_bool(tail.share) {
@@ -126,6 +155,7 @@
             give_up: Time((due.0 as f64 * GIVE_UP_FACTOR) as u64),
             first_run: 1,
             stretch: Stretch((self.stretch * 100.0).round() as u16),
+            route: None,
         };
         Arrival {
             at: Span((at * 1e6) as u64),
@@ -135,6 +165,7 @@
             job,
             lengths,
             objective: self.objective(longest),
+            in_burst: self.is_in_burst(at),
         }
     }
 
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -51,6 +51,13 @@
     /// Options of the entries.
     #[serde(default)]
     pub options: Options,
+    /// How often a caller submits a refused job again.
+    #[serde(default)]
+    pub retries: u32,
+    /// Seconds that callers wait before they submit a refused job again; `None` follows
+    /// `Retry-After`.
+    #[serde(default)]
+    pub retry_after_s: Option<u64>,
 }
 
 /// Jobs of one kind.
@@ -87,6 +94,9 @@
     pub share: f64,
     /// Factor on their run time.
     pub factor: f64,
+    /// From when jobs have them, in seconds.
+    #[serde(default)]
+    pub from_s: f64,
 }
 
 /// A sine wave on the rates.
@@ -97,6 +107,9 @@
     pub part: f64,
     /// Length of a period in seconds.
     pub period_s: f64,
+    /// How many seconds later each data centre has its peak than the one before it.
+    #[serde(default)]
+    pub shift_s: f64,
 }
 
 /// A period with a changed rate.
@@ -114,6 +127,12 @@
     pub kind: Option<usize>,
 }
 
+impl Burst {
+    fn contains(&self, at: f64) -> bool {
+        (self.at_s..self.at_s + self.for_s).contains(&at)
+    }
+}
+
 /// A fault with the time at which it begins.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Timed {
@@ -216,8 +235,11 @@
             | Fault::Down { executor, .. }
             | Fault::Fails { executor, .. }
             | Fault::Slow { executor, .. }
+            | Fault::Hangs { executor, .. }
             | Fault::Leave { executor } => *executor < executors,
-            Fault::Cordon { data_centre, .. } => *data_centre < self.zones.len(),
+            Fault::Cordon { data_centre, .. } | Fault::CutDataCentre { data_centre, .. } => {
+                *data_centre < self.zones.len()
+            }
             Fault::GiveUp => true,
         };
         if !self.faults.iter().all(|timed| exists(&timed.fault)) {
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -15,7 +15,7 @@
 pub use arrival::{Arrival, Outcome, Record};
 pub use layout::service;
 pub use plan::{DataCentre, Fault, Machine, Plan};
-pub use traffic::Traffic;
+pub use traffic::{PlacedFar, Traffic};
 
 use compact_str::CompactString;
 use layout::{capacity, executor, home};
@@ -53,6 +53,8 @@
 const RESEND_DELAY_US: u64 = 1_300_000;
 /// How long a registration remains after the end of its process.
 const REGISTRATION_TTL_US: u64 = 2_000_000;
+/// Microseconds of a second: the unit of `Retry-After`.
+const SECOND_US: u64 = 1_000_000;
 /// Time of the first job.
 const FIRST_JOB_US: u64 = 3_000_000;
 /// How much later than the job's give-up time an answer may be.
@@ -72,6 +74,8 @@
     executor: Executor,
     fake: ExecutorState,
     incarnation: u32,
+    /// Part of the tasks started from now on that hang.
+    hang_percent: u32,
 }
 
 struct Caller {
@@ -169,10 +173,14 @@
     pub reports: u64,
     /// What entries did with tasks and sent to each other while jobs arrived.
     pub traffic: Traffic,
+    /// What homes sent to other data centres, in order.
+    pub placed_far: Vec<PlacedFar>,
     /// For each executor whose keeper was killed or frozen, the time until it was in use again.
     pub unkept: Vec<Span>,
     /// How often an entry found that another one holds an executor with a higher token.
     pub fences: usize,
+    /// Number of jobs of arrivals submitted in each second since the first, retries included.
+    pub submissions: BTreeMap<u64, u64>,
 }
 
 impl Simulation {
@@ -198,6 +206,7 @@
                 random.random_range(0..1_000_000),
             ),
             incarnation: 0,
+            hang_percent: 0,
         });
         let slots = slots.collect();
         let mut simulation = Self {
@@ -228,8 +237,10 @@
             begun_work: 0,
             reports: 0,
             traffic: Traffic::default(),
+            placed_far: Vec::new(),
             unkept: Vec::new(),
             fences: 0,
+            submissions: BTreeMap::new(),
         };
         for node in 0..simulation.nodes.len() {
             simulation.start_entry(node);
@@ -335,6 +346,7 @@
                     executor: executor(&self.plan, slot, incarnation),
                     fake: ExecutorState::new(capacity(&self.plan, slot), 10, offset),
                     incarnation,
+                    hang_percent: 0,
                 };
                 self.publish_executors();
             }
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -43,6 +43,10 @@
     pub options: Options,
     /// Whether the decision log of the entries is printed.
     pub trace: bool,
+    /// How often a caller submits a refused job again.
+    pub retries: u32,
+    /// Seconds that callers wait before that; `None` follows `Retry-After`.
+    pub retry_after_s: Option<u64>,
 }
 
 /// The entries and executors of a data centre.
@@ -170,6 +174,23 @@
     },
     /// All callers with open jobs leave.
     GiveUp,
+    /// The entries of a data centre and those of all others can't reach each other.
+    CutDataCentre {
+        /// Index of the data centre.
+        data_centre: usize,
+        /// Duration in milliseconds.
+        ms: u64,
+    },
+    /// An executor lets a part of the tasks that it starts hang: they don't end before they are
+    /// stopped, or before its lease does.
+    Hangs {
+        /// Index of the executor.
+        executor: usize,
+        /// Duration in milliseconds.
+        ms: u64,
+        /// Part of its tasks, in percent.
+        percent: u32,
+    },
 }
 
 impl Default for Plan {
@@ -188,6 +209,8 @@
             faults: Vec::new(),
             options: Options::default(),
             trace: false,
+            retries: 0,
+            retry_after_s: None,
         }
     }
 }
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -3,7 +3,7 @@
 use crate::simulation::{Arrival, Outcome, Record, Traffic};
 use serde::Serialize;
 use site::unit::Span;
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// Worth of a late answer relative to one in time.
 const LATE_ANSWER_WORTH: f64 = 0.2;
@@ -60,6 +60,8 @@
     pub largest: BTreeMap<usize, Group>,
     /// Groups by width: jobs of at most two tasks, of up to ten, and of more.
     pub widths: BTreeMap<usize, Group>,
+    /// Groups by index of the data centre in the windows with the most refused jobs.
+    pub peak_zones: BTreeMap<usize, Group>,
     /// Groups by number of the window in which jobs were submitted.
     pub windows: BTreeMap<u64, Group>,
     /// Work of all started tasks, relative to the executors' cores over the time of the arrivals.
@@ -73,6 +75,12 @@
     pub unkept_ms: (f64, f64),
     /// How often an entry was fenced.
     pub fences: usize,
+    /// Groups of the jobs that arrive during a burst, by index of the kind.
+    pub bursts: BTreeMap<usize, Group>,
+    /// Number of retries after refusals, per job.
+    pub retries: f64,
+    /// Jobs submitted in each second, retries included.
+    pub submissions: Vec<u64>,
 }
 
 impl Group {
@@ -108,6 +116,16 @@
         self.refused as f64 / self.jobs.max(1) as f64
     }
 
+    /// Returns the number of admitted jobs that failed, were given up or were late.
+    pub fn unserved(&self) -> usize {
+        self.failed + self.given_up + self.late
+    }
+
+    /// Returns their part of the admitted jobs.
+    pub fn unserved_share(&self) -> f64 {
+        self.unserved() as f64 / (self.unserved() + self.in_time).max(1) as f64
+    }
+
     /// Returns the part of the completed jobs that were late.
     pub fn late_share(&self) -> f64 {
         self.late as f64 / (self.late + self.in_time).max(1) as f64
@@ -119,6 +137,7 @@
     pub fn new(arrivals: &[Arrival], records: &[Record]) -> Self {
         let mut tally = Tally::default();
         let works = works(arrivals);
+        let peak = peak_windows(arrivals, records);
         let mut refusals: Vec<f64> = Vec::new();
         for record in records {
             let arrival = &arrivals[record.arrival];
@@ -128,12 +147,18 @@
             // rate.
             let job = (BASE_WORTH + (1.0 - BASE_WORTH) * work).min(MAX_JOB_WORTH);
             let worth = job / of_kind.count as f64;
-            let window = arrival.at.0 / WINDOW_LENGTH.0;
+            let window = window(arrival);
             tally.all.add(record, worth);
             tally.kinds.entry(arrival.kind).or_default().add(record, worth);
             tally.zones.entry(arrival.data_centre).or_default().add(record, worth);
             tally.widths.entry(width_class(arrival.job.tasks)).or_default().add(record, worth);
             tally.windows.entry(window).or_default().add(record, worth);
+            if peak.contains(&window) {
+                tally.peak_zones.entry(arrival.data_centre).or_default().add(record, worth);
+            }
+            if arrival.in_burst {
+                tally.bursts.entry(arrival.kind).or_default().add(record, worth);
+            }
             if arrival.work() >= of_kind.large {
                 tally.largest.entry(arrival.kind).or_default().add(record, worth);
             }
@@ -141,6 +166,8 @@
                 refusals.push(record.after.0 as f64 / 1_000.0);
             }
         }
+        let retries: u32 = records.iter().map(|record| record.retries).sum();
+        tally.retries = f64::from(retries) / records.len().max(1) as f64;
         refusals.sort_by(f64::total_cmp);
         let at = |part: f64| {
             let index = (refusals.len() as f64 * part) as usize;
@@ -178,6 +205,21 @@
     }
 }
 
+fn window(arrival: &Arrival) -> u64 {
+    arrival.at.0 / WINDOW_LENGTH.0
+}
+
+/// Returns the windows with the most refused jobs.
+fn peak_windows(arrivals: &[Arrival], records: &[Record]) -> Vec<u64> {
+    let mut refused: BTreeMap<u64, usize> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.outcome == Outcome::Refused) {
+        *refused.entry(window(&arrivals[record.arrival])).or_default() += 1;
+    }
+    let mut windows: Vec<_> = refused.into_iter().collect();
+    windows.sort_by_key(|(_, refused)| Reverse(*refused));
+    windows.into_iter().map(|(window, _)| window).take(WORST_WINDOW_COUNT).collect()
+}
+
 fn width_class(tasks: u16) -> usize {
     match tasks {
         0..=2 => 0,
