runs: extend the lease of transferred runs only once their homes confirm

Cause: a keeper that took over an executor announced the runs once, dropped the announcement where it was not connected to the home, and extended the lease all the same. The home counted on the former keeper's last renewal and started the tasks again 1,250 ms after it had lost that keeper.

The former keeper notes where the run went: it passes on cancellations and tells the home if the new keeper gives the run up or is lost. The same now holds for the lease of forwarded runs. spec/handover.pml shows the fault as the mutant `unconfirmed` and refutes it.

Why it works: whoever extends a lease is known to the home, so the home's wait is counted from the loss of that keeper.

A test of forward.rs expected renewals of an unconfirmed run and now expects none; the fixture of mistaken_ends.rs confirms moved runs, as homes do.

--- a/components/runs/src/entry/mod.rs
+++ b/components/runs/src/entry/mod.rs
@@ -214,16 +214,14 @@
             Message::Report(report) => self.handle_report(now, from, report, out),
             Message::Claim(executors) => self.keeper.transfer(now, from, &executors, out),
             Message::Transfer(transferred) => {
-                let moved = self.keeper.accept_transfer(now, &self.view, transferred, out);
+                let moved = self.keeper.accept_transfer(now, from, &self.view, transferred, out);
                 self.send_moved(now, moved, out);
             }
             Message::Disclaim(executors) => self.keeper.disclaimed(now, from, &executors, out),
-            Message::Moved(runs) => {
-                let own = self.jobs.moved(now, from, &runs, out);
-                self.keeper.cancel(now, &own, out);
+            Message::Moved(runs) | Message::Taken(runs) => {
+                self.jobs.taken(now, from, &runs, out);
             }
             Message::Forward(forward) => self.accept_forward(now, from, forward, out),
-            Message::Taken(runs) => self.jobs.taken(now, from, &runs, out),
             Message::Confirmed(runs) => self.keeper.confirmed(from, &runs),
             Message::Returned(ended) => self.keeper.returned(from, &ended),
             // Handled by the process, which parses the document.
@@ -272,6 +270,7 @@
         self.last_contact.insert(peer, Contact::new(now));
         let report = self.report(now);
         out.push(self.report_to(peer, &report));
+        self.announce_unconfirmed(peer, out);
         let changed = self.view.connect(peer);
         self.view_changed(now, changed, out);
     }
@@ -388,7 +387,17 @@
         let own = homes.remove(&self.me).unwrap_or_default();
         let unwanted = self.jobs.moved(now, self.me, &own, out);
         self.keeper.cancel(now, &unwanted, out);
+        // A home that is not connected is told once it is.
+        homes.retain(|home, _| self.view.is_connected_to(*home));
         let send = |(to, runs)| Action::Send { to, message: Message::Moved(runs) };
         out.extend(homes.into_iter().map(send));
     }
+
+    /// Tells a home that is now connected of its runs here that it may not know of.
+    fn announce_unconfirmed(&self, home: Home, out: &mut Vec<Action>) {
+        let runs = self.keeper.unconfirmed_of(home);
+        if !runs.is_empty() {
+            out.push(Action::Send { to: home, message: Message::Moved(runs) });
+        }
+    }
 }
--- a/components/runs/src/home/mod.rs
+++ b/components/runs/src/home/mod.rs
@@ -248,11 +248,11 @@
         Vec::new()
     }
 
-    /// Another keeper has taken these tasks from the one that they were sent to. Confirms or cancels
-    /// them there.
+    /// Another keeper has these tasks from the one that they were sent to. Confirms or cancels them
+    /// there.
     pub(crate) fn taken(&mut self, now: Time, by: Home, runs: &[Moved], out: &mut Vec<Action>) {
         let unwanted = self.moved(now, by, runs, out);
-        debug_assert!(unwanted.is_empty(), "no keeper forwards a task to its home");
+        debug_assert!(unwanted.is_empty(), "an entry sends itself no message");
         let confirmed: Vec<_> =
             runs.iter().filter(|moved| self.is_placed(by, moved)).copied().collect();
         if !confirmed.is_empty() {
--- a/components/runs/src/keeper/forward.rs
+++ b/components/runs/src/keeper/forward.rs
@@ -7,12 +7,12 @@
 //! [`MAX_ELAPSED`] after the home sent it, and a lease of 700 ms that is renewed until the timeout
 //! ends 1,114 ms after that moment, by an executor's clock that is 2% slow.
 
-use super::{Keeper, Queued};
+use super::{Keeper, Ownership, Queued};
 use crate::{
     Action, Message,
     action::{Decision, StopCause},
     job::Task,
-    message::{End, Ended, Forward, Moved},
+    message::{End, Ended, Forward, Moved, TransferredRun},
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 use site::{
@@ -71,6 +71,9 @@
     until: Time,
     /// When its home is told that the new keeper was lost.
     lost_at: Option<Time>,
+    /// Whether it was running, and its executor went to the new keeper. An entry that drains does not
+    /// wait for these: a home that loses it starts the task again only after the run has ended.
+    is_run: bool,
 }
 
 /// A task whose home may not know that this entry is its keeper.
@@ -82,9 +85,9 @@
 }
 
 impl Forwarding {
-    /// Whether tasks went to other keepers lately.
-    pub(super) fn has_notes(&self) -> bool {
-        !self.notes.is_empty()
+    /// Whether tasks were forwarded to other keepers lately.
+    pub(super) fn has_forwarded(&self) -> bool {
+        self.notes.values().any(|note| !note.is_run)
     }
 
     /// Passes on cancellations of tasks that were forwarded: their home may not know the new keeper
@@ -109,10 +112,32 @@
         }
     }
 
-    /// Forgets what is known of earlier runs of a task that is placed here.
-    pub(super) fn forget(&mut self, task: Task) {
+    /// Forgets what is known of earlier runs of a task that is placed here; returns whether one of them
+    /// was unconfirmed.
+    pub(super) fn forget(&mut self, task: Task) -> bool {
         self.notes.remove(&task);
-        self.unconfirmed.remove(&task);
+        self.unconfirmed.remove(&task).is_some()
+    }
+
+    /// Notes that a run has gone to another keeper, so that a cancellation reaches it there, and the
+    /// home hears of it if that keeper is lost or gives the run up.
+    pub(super) fn note_transfer(&mut self, now: Time, to: Home, run: &TransferredRun) {
+        if self.notes.len() < MAX_NOTES {
+            let until = now + NOTE_LIFETIME;
+            let note = Note { to, run: run.run.number, until, lost_at: None, is_run: true };
+            self.notes.insert(run.task, note);
+        }
+    }
+
+    /// Whether the home of a task that came from another keeper has yet to confirm this one.
+    pub(super) fn is_unconfirmed(&self, task: Task) -> bool {
+        self.unconfirmed.contains_key(&task)
+    }
+
+    /// Waits for the home of a run that `from` has transferred.
+    pub(super) fn await_confirmation(&mut self, now: Time, from: Home, moved: Moved) {
+        let unconfirmed = Unconfirmed { from, run: moved.run, until: now + CONFIRM_TIMEOUT };
+        self.unconfirmed.insert(moved.task, unconfirmed);
     }
 }
 
@@ -142,7 +167,8 @@
                 waited: now.since(queued.since),
             }));
             let (run, until) = (queued.run.number, now + NOTE_LIFETIME);
-            self.forwarding.notes.insert(queued.task, Note { to, run, until, lost_at: None });
+            let note = Note { to, run, until, lost_at: None, is_run: false };
+            self.forwarding.notes.insert(queued.task, note);
             forwards.add(now, to, &queued);
         }
         out.extend(forwards.messages());
@@ -215,10 +241,33 @@
             let unconfirmed = &mut self.forwarding.unconfirmed;
             if unconfirmed.get(&moved.task).is_some_and(|task| task.run == moved.run) {
                 unconfirmed.remove(&moved.task);
+                self.own_runs(moved.task);
             }
         }
     }
 
+    /// Records that the home of a task relies on this keeper for it.
+    pub(super) fn own_runs(&mut self, task: Task) {
+        let runs = self.leases.values_mut().flat_map(|lease| lease.runs.values_mut());
+        for live in runs.filter(|live| live.task == Some(task)) {
+            if live.ownership == Ownership::Unconfirmed {
+                live.ownership = Ownership::Owned;
+            }
+        }
+    }
+
+    /// The runs here that a home has yet to confirm.
+    pub(crate) fn unconfirmed_of(&self, home: Home) -> Vec<Moved> {
+        let runs = self.leases.values().flat_map(|lease| &lease.runs);
+        let unconfirmed = runs.filter(|(_, live)| {
+            live.ownership == Ownership::Unconfirmed && !live.is_being_stopped()
+        });
+        unconfirmed
+            .filter_map(|(run, live)| Some(Moved { task: live.task?, run: run.number }))
+            .filter(|moved| moved.task.job.home == home)
+            .collect()
+    }
+
     /// Gives up the tasks that their home has not confirmed in time. Has to precede everything else,
     /// so that an entry that did not run for a while starts none of them and renews no lease.
     pub(crate) fn expire_unconfirmed(&mut self, now: Time, out: &mut Vec<Action>) {
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -15,6 +15,10 @@
     unit::{Resources, Span, Time},
 };
 
+/// A start that must not extend the lease needs this much of it left, in milliseconds of the
+/// executor's clock. A confirmation takes one round trip to the home.
+const MIN_REMAINING_LEASE: RemoteTime = 300;
+
 /// How long a reading of an executor's clock counts as one of its current incarnation. Two polls of
 /// an idle executor, and shorter than an executor's restart.
 const MAX_CLOCK_AGE: Span = Span::from_millis(1_500);
@@ -128,6 +132,8 @@
     pub(crate) seen: Option<Time>,
     /// Whether a former keeper started it, which may have seen it running or its end.
     pub(crate) inherited: bool,
+    /// Whether its home relies on this keeper for it.
+    pub(crate) ownership: Ownership,
     /// Why it is being stopped.
     pub(crate) stop: Option<StopCause>,
     /// Whether it has taken longer than its estimate allows, and health was told.
@@ -137,6 +143,18 @@
     pub(crate) end_if_lost: End,
 }
 
+/// Whether the home of a run relies on this keeper for it. The lease covers all runs of the executor
+/// and must not be extended while one that may be running is not owned: its home starts the task
+/// again once the lease that it knows of must have ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Ownership {
+    /// The home sent the task here or has confirmed this keeper.
+    Owned,
+    /// A former keeper handed the run over, or forwarded its task, and the home has not confirmed
+    /// that yet.
+    Unconfirmed,
+}
+
 /// What is known of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum State {
@@ -208,6 +226,7 @@
     /// Whether a task may be started there now, apart from health, cordon and service.
     pub(crate) fn is_usable(&self, now: Time) -> bool {
         self.phase == Phase::Ready
+            && (self.is_extendable() || self.has_standing_deadline(now))
             && !self.executor.leaving
             && !self.gone
             && self.missed_polls == 0
@@ -272,13 +291,37 @@
         }
     }
 
-    /// Computes a new lease deadline; `None` while the executor's clock is unknown.
+    /// Whether the lease may be extended: all runs that it covers are owned.
+    pub(crate) fn is_extendable(&self) -> bool {
+        self.runs.values().all(TrackedRun::may_outlast_lease)
+    }
+
+    /// Whether enough of the lease is left for a start that does not extend it.
+    fn has_standing_deadline(&self, now: Time) -> bool {
+        let is_ahead = |clock: Clock| clock.lower_bound(now) + MIN_REMAINING_LEASE <= self.deadline;
+        self.clock.is_some_and(is_ahead)
+    }
+
+    /// Extends the lease deadline to `span` from now; `None` if the lease may not be extended or the
+    /// executor's clock is unknown.
     pub(crate) fn extend_deadline(&mut self, now: Time, span: Span) -> Option<RemoteTime> {
+        if !self.is_extendable() {
+            return None;
+        }
         let deadline = self.clock?.deadline(now, span);
         self.deadline = self.deadline.max(deadline);
         Some(deadline)
     }
 
+    /// The lease deadline for a start: an extended one, or the standing one while the lease may not be
+    /// extended. `None` if there is none.
+    pub(crate) fn start_deadline(&mut self, now: Time, span: Span) -> Option<RemoteTime> {
+        if self.is_extendable() {
+            return self.extend_deadline(now, span);
+        }
+        self.has_standing_deadline(now).then_some(self.deadline)
+    }
+
     /// Number of tasks of a job that are there.
     pub(crate) fn count(&self, job: crate::job::Key) -> usize {
         self.runs.values().filter(|live| live.task.is_some_and(|task| task.job == job)).count()
@@ -286,6 +329,12 @@
 }
 
 impl TrackedRun {
+    /// Whether the lease may be extended while the run is there: it is owned, or ends soon whatever
+    /// the lease is.
+    fn may_outlast_lease(&self) -> bool {
+        self.ownership == Ownership::Owned || matches!(self.state, State::Stopped { .. })
+    }
+
     pub(crate) fn is_being_stopped(&self) -> bool {
         self.stop.is_some()
     }
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -21,7 +21,7 @@
 use choice::FastDemand;
 use forward::Forwarding;
 use incarnation::Age;
-use lease::{Lease, OutstandingPoll, Phase, State, TrackedRun};
+use lease::{Lease, OutstandingPoll, Ownership, Phase, State, TrackedRun};
 use queue::Queue;
 
 use crate::{
@@ -110,7 +110,7 @@
     /// Whether no task is queued or was forwarded lately, and nothing runs on a kept executor.
     pub(crate) fn is_idle(&self) -> bool {
         self.queue.is_empty()
-            && !self.forwarding.has_notes()
+            && !self.forwarding.has_forwarded()
             && self.leases.values().all(|lease| lease.runs.is_empty())
     }
 
@@ -128,7 +128,9 @@
                 true => self.ends.push(queued.ended(End::NotRun)),
                 false => {
                     self.update_usual_needs(&placement.needs);
-                    self.forwarding.forget(queued.task);
+                    if self.forwarding.forget(queued.task) {
+                        self.own_runs(queued.task);
+                    }
                     self.queue.push(queued);
                 }
             }
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -1,7 +1,7 @@
-//! Polls of executors. A poll renews the lease only if the executor is ready, has runs and missed
-//! no poll; `poll_again` never does. A start extends the lease too.
+//! Polls of executors. A poll renews the lease only if the executor is ready, has runs, all of which
+//! are owned, and missed no poll; `poll_again` never does. A start extends the lease too.
 
-use super::{Age, Keeper, Lease, OutstandingPoll, Phase, State, TrackedRun, log_keep};
+use super::{Age, Keeper, Lease, OutstandingPoll, Ownership, Phase, State, TrackedRun, log_keep};
 use crate::{
     Action,
     action::{Ending, KeepChange, Poll, StopCause},
@@ -374,6 +374,7 @@
             state: State::Running { since: now },
             seen: Some(now),
             inherited: true,
+            ownership: Ownership::Owned,
             stop: None,
             is_straggling: false,
             end_if_lost: End::ExecutorLost,
--- a/components/runs/src/keeper/start.rs
+++ b/components/runs/src/keeper/start.rs
@@ -1,6 +1,6 @@
 //! Starts: chooses executors for queued tasks and handles the responses.
 
-use super::{Keeper, Queued, State, TrackedRun, Way, choice::Chosen};
+use super::{Keeper, Ownership, Queued, State, TrackedRun, Way, choice::Chosen};
 use crate::{
     Action,
     action::{Decision, Ending, Start},
@@ -59,9 +59,13 @@
     fn start(&mut self, now: Time, chosen: Chosen, queued: Queued, out: &mut Vec<Action>) {
         let span = self.options.lease;
         let Chosen { executor: id, kind, outlook, is_demanding } = chosen;
+        let ownership = match self.forwarding.is_unconfirmed(queued.task) {
+            true => Ownership::Unconfirmed,
+            false => Ownership::Owned,
+        };
         let Some(lease) = self.leases.get_mut(&id) else { return };
         let clock_age = lease.clock.map_or(Span::ZERO, |clock| clock.age(now));
-        let Some(deadline) = lease.extend_deadline(now, span) else { return };
+        let Some(deadline) = lease.start_deadline(now, span) else { return };
         self.health.try_acquire(now, id);
         let live = TrackedRun {
             task: Some(queued.task),
@@ -74,6 +78,7 @@
             state: State::Starting,
             seen: None,
             inherited: false,
+            ownership,
             stop: None,
             is_straggling: false,
             end_if_lost: End::ExecutorLost,
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -1,12 +1,12 @@
 //! Transfers of executors between keepers: executor claims, and the state that a former keeper
 //! sends.
 
-use super::{Age, Keeper, Lease, Phase, State, TrackedRun};
+use super::{Age, Keeper, Lease, Ownership, Phase, State, TrackedRun};
 use crate::{
     Action, Message,
     action::KeepChange,
     job::Run,
-    message::{End, Moved, Transfer, TransferredRun},
+    message::{End, Ended, Moved, Transfer, TransferredRun},
     view::View,
 };
 use site::{
@@ -34,7 +34,7 @@
         for id in &kept {
             self.drop_unconfirmed(*id, out);
             let Some(lease) = self.leases.get(id) else { continue };
-            let message = Message::Transfer(Transfer {
+            let transfer = Transfer {
                 executor: *id,
                 incarnation: lease.executor.incarnation,
                 token: lease.token,
@@ -44,21 +44,29 @@
                     .iter()
                     .filter_map(|(run, live)| transferred(now, run, live))
                     .collect(),
-            });
-            out.push(Action::Send { to, message });
+            };
+            for run in &transfer.runs {
+                self.forwarding.note_transfer(now, to, run);
+            }
+            out.push(Action::Send { to, message: Message::Transfer(transfer) });
             self.forget(*id, KeepChange::Yield, out);
         }
     }
 
-    /// Applies a former keeper's state of an executor. Returns the runs that it had there.
+    /// Applies a former keeper's state of an executor. Returns the runs that it had there, for their
+    /// homes. Until a home has confirmed this keeper, the executor's lease is not extended.
     pub(crate) fn accept_transfer(
         &mut self,
         now: Time,
+        from: Home,
         view: &View,
         transferred: Transfer,
         out: &mut Vec<Action>,
     ) -> Vec<Moved> {
-        let Some(lease) = self.leases.get_mut(&transferred.executor) else { return Vec::new() };
+        let Some(lease) = self.leases.get_mut(&transferred.executor) else {
+            return_transfer(from, transferred, out);
+            return Vec::new();
+        };
         // It had a keeper: another entry than the lost one.
         lease.former = None;
         match lease.phase {
@@ -71,14 +79,25 @@
             }
             // Too late to be of use for the executor, but the homes of its runs wait for a keeper.
             Phase::Ready => {}
-            Phase::Settling { .. } | Phase::Fenced { .. } => return Vec::new(),
+            Phase::Settling { .. } | Phase::Fenced { .. } => {
+                return_transfer(from, transferred, out);
+                return Vec::new();
+            }
         }
         let mut moved = Vec::new();
         for inherited in transferred.runs {
-            let live = lease.inherited_run(now, &inherited);
+            let run = Moved { task: inherited.task, run: inherited.run.number };
+            self.forwarding.forget_note(run.task, run.run);
+            let ownership = match view.is_me(run.task.job.home) {
+                true => Ownership::Owned,
+                false => Ownership::Unconfirmed,
+            };
+            if ownership == Ownership::Unconfirmed {
+                self.forwarding.await_confirmation(now, from, run);
+            }
+            let live = lease.inherited_run(now, &inherited, ownership);
             self.health.try_acquire(now, transferred.executor);
-            moved.push(Moved { task: inherited.task, run: inherited.run.number });
-            self.forwarding.forget_note(inherited.task, inherited.run.number);
+            moved.push(run);
             lease.insert(inherited.run, live);
         }
         if matches!(lease.phase, Phase::Claiming { .. }) {
@@ -125,7 +144,7 @@
 
 impl Lease {
     /// A run of a former keeper. If the executor has listed it already, what is known of it stays.
-    fn inherited_run(&self, now: Time, run: &TransferredRun) -> TrackedRun {
+    fn inherited_run(&self, now: Time, run: &TransferredRun, ownership: Ownership) -> TrackedRun {
         let listed = self.runs.get(&run.run);
         TrackedRun {
             task: Some(run.task),
@@ -138,6 +157,7 @@
             state: listed.map_or(State::Unconfirmed { since: now }, |live| live.state),
             seen: listed.and_then(|live| live.seen),
             inherited: true,
+            ownership,
             stop: listed.and_then(|live| live.stop),
             is_straggling: false,
             end_if_lost: End::ExecutorLost,
@@ -145,6 +165,21 @@
     }
 }
 
+/// Hands back the runs of a transfer that came too late: their leases end, since nobody extends them.
+fn return_transfer(from: Home, transferred: Transfer, out: &mut Vec<Action>) {
+    let executor = Some(transferred.executor);
+    let ended = transferred.runs.into_iter().map(|TransferredRun { run, task, .. }| Ended {
+        task,
+        run: run.number,
+        executor,
+        end: End::Unsure,
+    });
+    let ended: Vec<_> = ended.collect();
+    if !ended.is_empty() {
+        out.push(Action::Send { to: from, message: Message::Returned(ended) });
+    }
+}
+
 /// The state of a run for its new keeper; `None` for a run whose task is unknown here.
 fn transferred(now: Time, run: &Run, live: &TrackedRun) -> Option<TransferredRun> {
     Some(TransferredRun {
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -35,7 +35,8 @@
     Transfer(Transfer),
     /// The sender does not keep these executors, which the receiver has claimed.
     Disclaim(Vec<EndpointId>),
-    /// The sender is now the keeper of these tasks' runs.
+    /// The sender is now the keeper of these runs, which another keeper transferred to it. The
+    /// receiver, their home, confirms or cancels them.
     Moved(Vec<Moved>),
     /// The operator's latest configuration, for entries that can't reach the platform's store.
     Configuration {
@@ -51,8 +52,8 @@
     Taken(Vec<Moved>),
     /// The sender, the home of these tasks, knows that the receiver is their keeper.
     Confirmed(Vec<Moved>),
-    /// Forwarded tasks that the sender does not keep: the receiver, which forwarded them, has to
-    /// tell their homes.
+    /// Forwarded tasks and transferred runs that the sender does not keep: the receiver, which had
+    /// them before, has to tell their homes.
     Returned(Vec<Ended>),
 }
 
--- a/components/runs/src/view/mod.rs
+++ b/components/runs/src/view/mod.rs
@@ -262,6 +262,10 @@
         self.connected().filter(move |home| has_share(home))
     }
 
+    pub(crate) fn is_me(&self, home: Home) -> bool {
+        home == self.me
+    }
+
     pub(crate) fn is_connected_to(&self, peer: Home) -> bool {
         self.connected.contains(&peer)
     }
--- a/components/runs/tests/forward.rs
+++ b/components/runs/tests/forward.rs
@@ -165,11 +165,13 @@
         scene.forward();
         scene.network.wait(1);
         scene.network.kill(scene.first);
-        // Until then the lease is renewed.
         scene.network.wait(230);
         scene.network.loses_orders = true;
-        scene.network.wait(600);
+        // The lease of the start lasts 700 ms, and nobody extends it.
+        scene.network.wait(400);
         assert_eq!((scene.started(), scene.network.running(JOB)), (vec![2], 1));
+        scene.network.wait(200);
+        assert_eq!((scene.started(), scene.network.running(JOB)), (vec![2], 0));
         scene.network.loses_orders = false;
         scene.network.wait(370);
         if is_restored {
--- a/components/runs/tests/mistaken_ends.rs
+++ b/components/runs/tests/mistaken_ends.rs
@@ -187,7 +187,10 @@
                 Action::Send { message: Message::Ended(ended), .. } => {
                     self.ends.extend(ended.iter().map(|ended| ended.end));
                 }
-                Action::Send { message: Message::Moved(runs), .. } => self.moved += runs.len(),
+                Action::Send { message: Message::Moved(runs), .. } => {
+                    self.moved += runs.len();
+                    self.receive(Message::Confirmed(runs));
+                }
                 _ => {}
             }
         }
--- a/spec/handover.pml
+++ b/spec/handover.pml
@@ -1,6 +1,8 @@
 /* One task whose run changes its keeper: K keeps executor X, where run 1 of the
  * task is, and hands X over to N at any moment. N may get no answer from X.
- * The home H may lose K before, and then starts run 2 after a while.
+ * The home H may lose K at any moment, and then starts run 2 after a while,
+ * unless it knows by then that N has the run. N and H may not be connected, then
+ * or ever, and may lose each other. N renews once H has confirmed it.
  *
  * Time is counted in units of 100 ms. X's clock may run slow by SLOW units a
  * lease. Renewals may be lost or late; a late one has the deadline that it was
@@ -10,13 +12,16 @@
 #define SLOW	1
 #define LAPSE	13	/* H starts run 2 so long after it lost K */
 #define SILENCE	5	/* K takes H for lost after this time */
-#define END	30
+#define LAST_FAULT	8	/* K hands X over, and connections are lost, until then */
+#define END	(LAST_FAULT + LAPSE + 2)
 
 #define NONE		0
 #define BLIND_LAPSE	1	/* N takes a lease that it never saw for over */
 #define QUICK_CLOCK	2	/* N reckons the lease by its own clock */
 #define UNNUMBERED	3	/* H counts an end of run 1 for run 2 */
 #define KEEP_RENEWING	4	/* K renews after the handover */
+#define UNCONFIRMED	5	/* N renews a run that H does not know to be there */
+#define DEAF_HEIR	6	/* N renews without hearing from H */
 
 #ifndef MUTANT
 #define MUTANT NONE
@@ -40,9 +45,16 @@
 bool over;			/* N has told H that run 1 is over */
 bool heard_over;		/* H has got that */
 bool known;			/* N has got an answer from X */
+bool linked;			/* N and H are connected */
+bool told;			/* N's word that it has run 1 is in transit */
+bool knows;			/* H counts N as the keeper of run 1 */
+bool confirms;			/* H's confirmation is in transit */
+bool confirmed;			/* N has got it */
+byte n_lost;			/* when N and H lost each other; 0 for not yet */
 
 #define keeps	(handed == 0)
 #define silent	(lost != 0 && now - lost >= SILENCE)
+#define n_silent	(n_lost != 0 && now - n_lost >= SILENCE)
 
 inline extend(deadline) {
 	if
@@ -74,7 +86,13 @@
 
 active proctype faults() {
 end:	do
-	:: atomic { lost == 0 && keeps -> lost = now }
+	:: atomic { lost == 0 && now <= LAST_FAULT -> lost = now }
+	:: atomic { linked && now <= LAST_FAULT ->
+		linked = false;
+		n_lost = now;
+		told = false;
+		confirms = false
+	}
 	od
 }
 
@@ -86,7 +104,7 @@
 	:: atomic { !keeps && one && !silent -> renew() }
 #endif
 	:: atomic { keeps && one && silent -> one = false }
-	:: atomic { keeps && one -> handed = now }
+	:: atomic { keeps && one && now <= LAST_FAULT -> handed = now }
 	:: atomic { late != 0 ->
 		if
 		:: late >= now -> extend(late)
@@ -97,10 +115,20 @@
 	od
 }
 
-/* N looks at X; its look or the answer may be lost any number of times. */
+/* N looks at X; its look or the answer may be lost any number of times. It tells
+ * H of the run as soon as the two are connected. */
 active proctype heir() {
 end:	do
 	:: atomic { !keeps && !known -> known = true }
+	:: atomic { !keeps && !linked && n_lost == 0 -> linked = true; told = true }
+	:: atomic { confirms -> confirms = false; confirmed = true }
+#if MUTANT == UNCONFIRMED
+	:: atomic { known && one && !n_silent -> renew() }
+#elif MUTANT == DEAF_HEIR
+	:: atomic { known && one && confirmed -> renew() }
+#else
+	:: atomic { known && one && confirmed && !n_silent -> renew() }
+#endif
 	/* Stops what it was told of and nobody vouches for; the stop may be lost. */
 	:: atomic { known && one -> one = false }
 	:: atomic { known && !one && !over -> over = true }
@@ -130,7 +158,19 @@
 		skip
 #endif
 	}
-	:: atomic { lost != 0 && now >= lost + LAPSE && !two && !heard_over ->
+	:: atomic { told ->
+		told = false;
+		if
+		:: !two && !heard_over -> knows = true; confirms = true
+		/* Cancelled; that may be lost. */
+		:: else
+		fi
+	}
+	:: atomic { lost != 0 && now >= lost + LAPSE && !knows && !two && !heard_over ->
+		two = true;
+		assert(!one)
+	}
+	:: atomic { knows && n_lost != 0 && now >= n_lost + LAPSE && !two && !heard_over ->
 		two = true;
 		assert(!one)
 	}
