runs: extend no lease that covers an orphaned run

Cause: a lease covers all that runs on an executor. Polls and starts for other runs there went on extending it while the stop of a run that nobody waits for had no answer.

Ruled out: leases that are too long, late renewals, stops that are not repeated.

Change: a run whose home is lost or no longer wants it, that was not confirmed in time, or whose task is unknown is orphaned until its stop is answered. Runs that are stopped for another reason become orphaned when their home is lost. spec/keeper.pml shows the fault as the mutant `renew_stopped` and refutes it.

Why it works: the last extension is at most as old as the home's last sign of life plus 500 ms, so the run is over 1,214 ms after that, whatever becomes of its stops.

--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -153,6 +153,9 @@
     /// A former keeper handed the run over, or forwarded its task, and the home has not confirmed
     /// that yet.
     Unconfirmed,
+    /// Nobody waits for the run: its task is unknown here, its answer is no longer wanted, or its
+    /// home can't be reached. It is stopped, and if that fails it ends with the lease.
+    Orphaned,
 }
 
 /// What is known of a run.
--- a/components/runs/src/keeper/poll.rs
+++ b/components/runs/src/keeper/poll.rs
@@ -374,7 +374,7 @@
             state: State::Running { since: now },
             seen: Some(now),
             inherited: true,
-            ownership: Ownership::Owned,
+            ownership: Ownership::Orphaned,
             stop: None,
             is_straggling: false,
             end_if_lost: End::ExecutorLost,
--- a/components/runs/src/keeper/stop.rs
+++ b/components/runs/src/keeper/stop.rs
@@ -1,6 +1,6 @@
 //! Stops of runs, and what the end of a run says about its executor's health.
 
-use super::{Keeper, State, TrackedRun};
+use super::{Keeper, Ownership, State, TrackedRun};
 use crate::{
     Action,
     action::{Decision, Ending, StopCause},
@@ -35,6 +35,8 @@
         self.abandon(now, StopCause::HomeLost, is_abandoned, out);
     }
 
+    /// Returns queued tasks to their homes and stops the runs of others. Even if the stops are lost,
+    /// these end with the lease: it is not extended any more.
     pub(super) fn abandon(
         &mut self,
         now: Time,
@@ -45,15 +47,18 @@
         for queued in self.queue.extract(|queued| matches(queued.task)) {
             self.ends.push(queued.ended(End::NotRun));
         }
-        let is_wanted =
-            |live: &TrackedRun| live.task.is_some_and(&matches) && !live.is_being_stopped();
-        let runs: Vec<_> = self
-            .leases
-            .iter()
-            .flat_map(|(id, lease)| lease.runs.iter().map(move |(run, live)| (*id, run, live)))
-            .filter(|(_, _, live)| is_wanted(live))
-            .map(|(id, run, _)| (id, run.clone()))
-            .collect();
+        let mut runs = Vec::new();
+        for (id, lease) in &mut self.leases {
+            for (run, live) in &mut lease.runs {
+                if !live.task.is_some_and(&matches) {
+                    continue;
+                }
+                live.ownership = Ownership::Orphaned;
+                if !live.is_being_stopped() {
+                    runs.push((*id, run.clone()));
+                }
+            }
+        }
         for (id, run) in runs {
             self.stop(now, id, &run, why, out);
         }
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -146,6 +146,11 @@
     /// A run of a former keeper. If the executor has listed it already, what is known of it stays.
     fn inherited_run(&self, now: Time, run: &TransferredRun, ownership: Ownership) -> TrackedRun {
         let listed = self.runs.get(&run.run);
+        // A stop that was sent can't be taken back.
+        let ownership = match listed.is_some_and(TrackedRun::is_being_stopped) {
+            true => Ownership::Orphaned,
+            false => ownership,
+        };
         TrackedRun {
             task: Some(run.task),
             needs: run.needs,
--- a/components/runs/tests/common/executors.rs
+++ b/components/runs/tests/common/executors.rs
@@ -47,6 +47,8 @@
     /// Executor, run and lease deadline of each start.
     pub(crate) starts: Vec<(EndpointId, Run, u64)>,
     polls: Vec<Poll>,
+    /// Lease deadlines of all polls that extended a lease.
+    pub(crate) renewals: Vec<u64>,
     /// Results of starts that were not sent or were refused, which arrive with the next tick.
     not_started: Vec<Event>,
     pub(crate) answers: Vec<Answer>,
@@ -75,6 +77,7 @@
                 .collect(),
             starts: Vec::new(),
             polls: Vec::new(),
+            renewals: Vec::new(),
             not_started: Vec::new(),
             answers: Vec::new(),
             decisions: Vec::new(),
@@ -123,6 +126,7 @@
                 Some(Event::Started { executor: start.executor, run: start.run, reply })
             }
             Action::Poll(poll) => {
+                self.renewals.extend(poll.deadline);
                 self.polls.push(poll);
                 None
             }
@@ -282,6 +286,11 @@
     }
 }
 
+/// An executor whose incarnations have names of their own.
+pub(crate) fn renamed(name: &str) -> Executor {
+    Executor { incarnation: None, ..named(name) }
+}
+
 pub(crate) fn service(guards_capacity: bool) -> Event {
     let service = Service { id: ServiceId::of("service"), guards_capacity };
     Event::Configured { version: 1, services: vec![service] }
--- a/components/runs/tests/common/network.rs
+++ b/components/runs/tests/common/network.rs
@@ -42,6 +42,8 @@
     silenced: BTreeSet<(Home, Home)>,
     /// Whether stops and polls get lost.
     pub(crate) loses_orders: bool,
+    /// Whether stops get lost.
+    pub(crate) loses_stops: bool,
     /// Events for entries, by the step in which they are due.
     due: BTreeMap<u64, Vec<(Home, Event)>>,
     step: u64,
@@ -94,6 +96,7 @@
             held: BTreeSet::new(),
             silenced: BTreeSet::new(),
             loses_orders: false,
+            loses_stops: false,
             due: BTreeMap::new(),
             step: 0,
             starts: Vec::new(),
@@ -241,7 +244,7 @@
             }
             Action::Stop { executor, run, .. } => {
                 let machine = self.machines.get_mut(&executor).expect("an executor");
-                let reply = match self.loses_orders {
+                let reply = match self.loses_orders || self.loses_stops {
                     true => Response::Silent,
                     false => {
                         machine.running.retain(|other| *other != run);
--- a/components/runs/tests/executor_losses.rs
+++ b/components/runs/tests/executor_losses.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{
-    executors::{Process, Scene, named},
+    executors::{Process, Scene, named, renamed},
     fixture::{home, job},
 };
 use runs::{
@@ -22,10 +22,6 @@
 const SILENCE: Span = Span::from_millis(1_200);
 
 /// An executor that starts each incarnation under another name.
-fn renamed(name: &str) -> Executor {
-    Executor { incarnation: None, ..named(name) }
-}
-
 fn scene(executors: usize) -> Scene {
     Scene::new((0..executors).map(|index| renamed(&format!("i-{index}"))).collect())
 }
--- a/components/runs/tests/mistaken_ends.rs
+++ b/components/runs/tests/mistaken_ends.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{
-    executors::{Process, Scene, named},
+    executors::{Process, Scene, named, renamed},
     fixture::{home, job, needs},
 };
 use runs::{
@@ -20,10 +20,6 @@
 };
 
 /// An executor that starts each incarnation under another name.
-fn renamed(name: &str) -> Executor {
-    Executor { incarnation: None, ..named(name) }
-}
-
 /// The connections to the executors broke after the starts had been written to them, as they do
 /// when a machine has crashed and its address is in use again. Nothing shows that this task crashed
 /// any of them, and a sound one is left.
--- a/spec/keeper.pml
+++ b/spec/keeper.pml
@@ -6,7 +6,9 @@
  * freeze or die, the caller's connection may break. The caller hands the job in
  * again RESEND after the break, through an entry that knows nothing of all this,
  * which starts the task on another executor at once. Orders to X may be lost;
- * a renewal may also be carried out at any later time.
+ * a renewal may also be carried out at any later time. X's lease covers all that
+ * runs there, also other tasks, whose homes are alive: whoever starts or renews
+ * one of these extends the lease of the first run too.
  *
  * Time is counted in units of 100 ms. X's clock may run slow by SLOW units a
  * lease. An entry that is not frozen acts within the unit in which it learns
@@ -27,6 +29,7 @@
 #define RELATIVE	5	/* a lease counts from the arrival of the order */
 #define KEEP_ORPHANS	6	/* K renews for a job whose caller has gone */
 #define BLIND_HEIR	7	/* a new keeper renews before it looks at what runs */
+#define RENEW_STOPPED	8	/* K renews for other runs on X while a stop has no answer */
 
 #ifndef MUTANT
 #define MUTANT NONE
@@ -124,8 +127,12 @@
 #else
 	:: atomic { acts && !silent && !gone && !told -> renew() }
 #endif
-	/* Stops what nobody wants or vouches for; the stop may be lost. */
+	/* Stops what nobody wants or vouches for; the stop may be lost, and so may
+	 * its repetitions. */
 	:: atomic { acts && (silent || gone) -> first = false }
+#if MUTANT == RENEW_STOPPED
+	:: atomic { acts && (silent || gone) -> renew() }
+#endif
 	:: atomic { first && frozen && keeper ->
 		frozen = false;
 #if MUTANT == BLIND_WAKE
