lab: rolls, entries that the store turns away, and long tasks

All entries were connected with all, no process started while the store turned another one away, tasks took up to 1.3 s, and executors had room for two or three of them.

--- a/components/runs/tests/faults.rs
+++ b/components/runs/tests/faults.rs
@@ -1,7 +1,7 @@
 //! Simulations of a small site with faults, single and combined, whose invariants are checked at
 //! each step.
 
-use lab::simulation::{Fault, Plan, Simulation};
+use lab::simulation::{Fault, JobKind, Plan, Simulation};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -165,6 +165,68 @@
     play(plan(faults), 5);
 }
 
+/// A site whose tasks take up to 3.5 s, so that a run which outlives its lease is still there when
+/// the task is started again, and whose executors have room for eight of them, so that their leases
+/// are extended for others.
+fn plan_of_long_tasks(faults: Vec<(u64, Fault)>) -> Plan {
+    let kinds = vec![JobKind { tasks: 4, ms: 2_500 }, JobKind { tasks: 2, ms: 2_000 }];
+    Plan { executors: 8, cores: vec![216_000], kinds, rate: 6, seconds: 12, ..plan(faults) }
+}
+
+/// Guards against runs that go on at a keeper unknown to their home: the store turns entries away
+/// while those of a data centre are rolled.
+#[test]
+fn entries_that_are_turned_away_while_others_are_rolled_leave_no_task_running_twice() {
+    for seed in 0..20 {
+        let mut faults = vec![
+            (200, Fault::TurnAway { entry: 0, ms: 9_000 }),
+            (200 + seed % 3, Fault::TurnAway { entry: 2, ms: 9_000 }),
+        ];
+        let first = 2_700 + seed * 37 % 500;
+        faults.push((first, Fault::Roll { entry: 1 }));
+        faults.push((first + 1_050, Fault::Roll { entry: 3 }));
+        play(plan_of_long_tasks(faults), seed);
+    }
+}
+
+/// Guards against runs that outlive lost stops: entries are killed while executors leave half of the
+/// orders unanswered.
+#[test]
+fn killed_entries_and_lost_stops_leave_no_task_running_twice() {
+    for seed in 0..20 {
+        let faults = (0..6).map(|n| (900 + n * 1_900, Fault::Kill { entry: n as usize % 4 }));
+        let mut plan = plan_of_long_tasks(faults.collect());
+        plan.lost_orders = Some(2);
+        play(plan, seed);
+    }
+}
+
+#[test]
+fn random_faults_on_long_tasks_violate_no_invariant() {
+    for seed in 200..230 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        for _ in 0..random.random_range(4..14) {
+            let at = random.random_range(200..11_500);
+            let entry = random.random_range(0..4);
+            let ms = random.random_range(100..9_000);
+            let fault = match random.random_range(0..8) {
+                0 => Fault::Kill { entry },
+                1 => Fault::Freeze { entry, ms: ms % 900 },
+                2 => Fault::CutLink { entry, peer: (entry + 1) % 4, ms },
+                3 => Fault::GiveUp,
+                4 | 5 => Fault::TurnAway { entry, ms },
+                _ => Fault::Roll { entry },
+            };
+            faults.push((at, fault));
+        }
+        let mut plan = plan_of_long_tasks(faults);
+        plan.lost_orders = random.random_bool(0.5).then_some(2);
+        println!("seed {seed}: {plan:?}");
+        play(plan, seed);
+    }
+}
+
 #[test]
 fn random_faults_violate_no_invariant() {
     for seed in 100..140 {
--- a/lab/src/pattern/mod.rs
+++ b/lab/src/pattern/mod.rs
@@ -228,6 +228,8 @@
             | Fault::Freeze { entry, .. }
             | Fault::Cut { entry, .. }
             | Fault::Blind { entry, .. }
+            | Fault::Roll { entry }
+            | Fault::TurnAway { entry, .. }
             | Fault::Drain { entry } => *entry < entries,
             Fault::CutLink { entry, peer, .. } => (*entry).max(*peer) < entries,
             Fault::Dark { executor, .. }
--- a/lab/src/simulation/callers.rs
+++ b/lab/src/simulation/callers.rs
@@ -2,8 +2,8 @@
 //! connection.
 
 use super::{
-    ANSWER_TOLERANCE_US, Arrival, CALLER_DELAY_US, Caller, FIRST_JOB_US, Outcome, RESEND_DELAY_US,
-    Record, SECOND_US, Simulation, Step, Work,
+    ANSWER_TOLERANCE_US, Arrival, CALLER_DELAY_US, Caller, FIRST_JOB_US, JobKind, Outcome,
+    RESEND_DELAY_US, Record, SECOND_US, Simulation, Step, Work,
     arrival::job_at,
     layout::{needs, service},
 };
@@ -17,6 +17,14 @@
     unit::{Resources, Span, Time},
 };
 
+/// Upper bound of the estimates of generated jobs, in percent of the shortest length of their tasks.
+pub(super) const MAX_ESTIMATE_PERCENT: u64 = 140;
+
+/// Returns the objective of a generated job, by its estimate in microseconds.
+pub(super) fn objective(estimate_us: u64) -> Span {
+    Span(estimate_us * 8 / 5 + 60_000)
+}
+
 impl Simulation {
     pub(super) fn schedule_arrivals(&mut self) {
         let Some(arrivals) = self.plan.arrivals.clone() else {
@@ -55,6 +63,7 @@
     fn entries_for(&self, arrival: Option<usize>) -> Vec<usize> {
         let up: Vec<_> = (0..self.nodes.len())
             .filter(|node| self.is_up(*node) && !self.nodes[*node].exited)
+            .filter(|node| !self.nodes[*node].is_rolled)
             .collect();
         let Some(arrival) = arrival.and_then(|number| self.plan.arrivals.as_ref()?.get(number))
         else {
@@ -77,9 +86,11 @@
         self.next_job += 1;
         let name = format!("{:016x}", self.next_job * 977);
         let digits = self.next_job * 977;
-        let (tasks, ms) = [(8, 60), (2, 200), (2, 200), (4, 900)][(digits % 4) as usize];
-        let estimate = Span::from_millis(ms * self.random.random_range(60..140) / 100);
-        let objective = Span(estimate.0 * 8 / 5 + 60_000);
+        let kinds = &self.plan.kinds;
+        let JobKind { tasks, ms } = kinds[digits as usize % kinds.len()];
+        let percent = self.random.random_range(60..MAX_ESTIMATE_PERCENT);
+        let estimate = Span::from_millis(ms * percent / 100);
+        let objective = objective(estimate.0);
         let job = Job {
             name: name.into(),
             request: "".into(),
--- a/lab/src/simulation/faults.rs
+++ b/lab/src/simulation/faults.rs
@@ -1,7 +1,8 @@
 //! Begins and ends faults.
 
 use super::{
-    Fault, PEER_RESPONSE_TIMEOUT_US, PEER_TIMEOUT_US, REGISTRATION_TTL_US, Simulation, Step,
+    Fault, NETWORK_DELAY_US, PEER_RESPONSE_TIMEOUT_US, PEER_TIMEOUT_US, REGISTRATION_TTL_US,
+    Simulation, Step,
 };
 use runs::Event;
 use site::{id::WaiterId, unit::Time};
@@ -67,6 +68,16 @@
                 self.publish_executors();
             }
             Fault::Drain { entry } => self.handle_event(entry, Event::Drain),
+            Fault::Roll { entry } => {
+                self.nodes[entry].is_rolled = true;
+                self.handle_event(entry, Event::Drain);
+            }
+            Fault::TurnAway { entry, ms } => {
+                self.nodes[entry].turned_away_until = Time(self.now.0 + ms * 1_000);
+                let incarnation = self.nodes[entry].home.incarnation;
+                self.after(REGISTRATION_TTL_US, Step::ExpireRegistration(entry, incarnation));
+                self.after(ms * 1_000, Step::EndFault(fault));
+            }
             Fault::Cordon { data_centre, ms } => {
                 self.set_cordon(data_centre, true);
                 self.after(ms * 1_000, Step::EndFault(fault));
@@ -136,6 +147,32 @@
         }
     }
 
+    /// Ends the process of an entry that was stopped by plan, and starts it again later. Its
+    /// connections are closed, and its registration is revoked.
+    pub(super) fn end_rolled(&mut self, entry: usize) {
+        self.nodes[entry].is_rolled = false;
+        self.nodes[entry].entry = None;
+        self.nodes[entry].listed = false;
+        self.disconnect_callers(entry);
+        let home = self.nodes[entry].home;
+        for node in (0..self.nodes.len()).filter(|node| *node != entry) {
+            self.after(NETWORK_DELAY_US, Step::LinkDown(node, home));
+        }
+        self.links.retain(|(_, to)| *to != home);
+        self.publish_members();
+        self.after(RESTART_US, Step::Restart(entry));
+    }
+
+    /// The store serves an entry again: it registers and learns of what has changed.
+    fn serve_again(&mut self, entry: usize) {
+        if self.is_turned_away(entry) || !self.is_up(entry) {
+            return;
+        }
+        self.nodes[entry].listed = true;
+        self.publish_members();
+        self.publish_executors();
+    }
+
     /// Begins to measure how long the executors of an entry are without a keeper.
     fn executors_lose_keeper(&mut self, entry: usize) {
         for (executor, keeper) in &self.keepers {
@@ -175,6 +212,7 @@
             Fault::Hangs { executor, .. } => self.slots[executor].hang_percent = 0,
             Fault::Cordon { data_centre, .. } => self.set_cordon(data_centre, false),
             Fault::Blind { .. } => self.publish_cordons(),
+            Fault::TurnAway { entry, .. } => self.serve_again(entry),
             _ => {}
         }
     }
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -14,7 +14,7 @@
 
 pub use arrival::{Arrival, Outcome, Record};
 pub use layout::service;
-pub use plan::{DataCentre, Fault, Machine, Plan};
+pub use plan::{DataCentre, Fault, JobKind, Machine, Plan};
 pub use traffic::{PlacedFar, Traffic};
 
 use compact_str::CompactString;
@@ -66,8 +66,12 @@
     frozen_until: Time,
     cut_until: Time,
     blind_until: Time,
+    /// Until when the store turns it away.
+    turned_away_until: Time,
     listed: bool,
     exited: bool,
+    /// Whether it is started again once it has exited.
+    is_rolled: bool,
 }
 
 struct Slot {
@@ -194,8 +198,10 @@
             frozen_until: Time(0),
             cut_until: Time(0),
             blind_until: Time(0),
+            turned_away_until: Time(0),
             listed: false,
             exited: false,
+            is_rolled: false,
         });
         let nodes = nodes.collect();
         let slots = (0..plan.executor_count()).map(|index| Slot {
@@ -322,7 +328,8 @@
             Step::EndFault(fault) => self.end_fault(fault),
             Step::Restart(node) => self.start_entry(node),
             Step::ExpireRegistration(node, incarnation) => {
-                if self.nodes[node].home.incarnation == incarnation && !self.is_up(node) {
+                let is_gone = !self.is_up(node) || self.is_turned_away(node);
+                if self.nodes[node].home.incarnation == incarnation && is_gone {
                     self.nodes[node].listed = false;
                     self.publish_members();
                 }
@@ -361,9 +368,10 @@
     /// Returns the longest time that a caller waits.
     fn longest_us(&self) -> u64 {
         let arrivals = self.plan.arrivals.iter().flat_map(|arrivals| arrivals.iter());
-        arrivals.map(|arrival| arrival.job.give_up.0).max().unwrap_or_default()
-            + RESEND_DELAY_US
-            + ANSWER_TOLERANCE_US
+        let of_arrivals = arrivals.map(|arrival| arrival.job.give_up.0).max();
+        let longest = self.plan.kinds.iter().map(|kind| kind.ms * 1_000).max().unwrap_or_default();
+        let of_generated = callers::objective(longest * callers::MAX_ESTIMATE_PERCENT / 100).0 * 3;
+        of_arrivals.unwrap_or(of_generated) + RESEND_DELAY_US + ANSWER_TOLERANCE_US
     }
 
     /// Returns the time after which no job arrives.
--- a/lab/src/simulation/nodes.rs
+++ b/lab/src/simulation/nodes.rs
@@ -11,6 +11,10 @@
 impl Simulation {
     pub(super) fn start_entry(&mut self, node: usize) {
         let now = self.now;
+        if self.is_turned_away(node) {
+            // A process can't start without the store.
+            return self.at(self.nodes[node].turned_away_until, Step::Restart(node));
+        }
         let fresh: u64 = self.random.random();
         let entry = &mut self.nodes[node];
         entry.home.incarnation = Incarnation(fresh);
@@ -38,7 +42,7 @@
     }
 
     pub(super) fn publish_executors(&mut self) {
-        for node in 0..self.nodes.len() {
+        for node in self.served() {
             let event = Event::Executors(self.executors());
             let incarnation = self.nodes[node].home.incarnation;
             self.after(5_000, Step::HandleEvent(node, incarnation, event));
@@ -49,7 +53,7 @@
         self.revision += 1;
         let members: Vec<_> =
             self.nodes.iter().filter(|node| node.listed).map(|node| node.home).collect();
-        for node in 0..self.nodes.len() {
+        for node in self.served() {
             let event =
                 Event::Members { revision: Revision(self.revision), members: members.clone() };
             let incarnation = self.nodes[node].home.incarnation;
@@ -61,6 +65,21 @@
         self.nodes[node].entry.is_some()
     }
 
+    /// Returns whether the store turns an entry away.
+    pub(super) fn is_turned_away(&self, node: usize) -> bool {
+        self.nodes[node].turned_away_until > self.now
+    }
+
+    /// Returns the entries that the store serves.
+    fn served(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|node| !self.is_turned_away(*node)).collect()
+    }
+
+    /// Returns whether an entry's registration has lapsed, so that new processes don't know it.
+    fn is_unknown(&self, node: usize) -> bool {
+        self.is_turned_away(node) && !self.nodes[node].listed
+    }
+
     pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
         let is_cut = |until: &Time| *until > self.now;
         self.nodes[a].cut_until > self.now
@@ -72,7 +91,7 @@
         if a == b || !self.is_up(a) || !self.is_up(b) {
             return;
         }
-        if self.is_cut(a, b) {
+        if self.is_cut(a, b) || self.is_unknown(a) || self.is_unknown(b) {
             self.after(100_000, Step::LinkUp(a, b));
             return;
         }
@@ -166,7 +185,12 @@
             }
             // All entries are notified of all executors here; following them has no cost.
             Action::WatchExecutors(_) => {}
-            Action::Exit => self.nodes[node].exited = true,
+            Action::Exit => {
+                self.nodes[node].exited = true;
+                if self.nodes[node].is_rolled {
+                    self.end_rolled(node);
+                }
+            }
         }
     }
 }
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -31,6 +31,8 @@
     pub machines: Vec<Machine>,
     /// Generated jobs per second; without effect where `arrivals` are given.
     pub rate: u64,
+    /// Kinds of generated jobs, equally frequent; at least one.
+    pub kinds: Vec<JobKind>,
     /// The jobs in order of their arrival; `None` for `rate` generated jobs per second.
     pub arrivals: Option<Arc<[Arrival]>>,
     /// For how long jobs arrive, in seconds.
@@ -64,6 +66,25 @@
     pub large: usize,
 }
 
+/// A kind of generated jobs.
+#[derive(Clone, Copy, Debug)]
+pub struct JobKind {
+    /// Number of tasks.
+    pub tasks: u16,
+    /// Milliseconds that a task takes at least; up to 40% more.
+    pub ms: u64,
+}
+
+impl JobKind {
+    /// A mix of short jobs.
+    pub const USUAL: [Self; 4] = [
+        Self { tasks: 8, ms: 60 },
+        Self { tasks: 2, ms: 200 },
+        Self { tasks: 2, ms: 200 },
+        Self { tasks: 4, ms: 900 },
+    ];
+}
+
 /// The machine of an executor.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -158,6 +179,19 @@
         /// Index of the entry.
         entry: usize,
     },
+    /// An entry's process is stopped by plan and started again 500 ms after its end.
+    Roll {
+        /// Index of the entry.
+        entry: usize,
+    },
+    /// The store serves all entries but one: its registration lapses, and it learns of no change.
+    /// Processes that start meanwhile connect to it only afterwards.
+    TurnAway {
+        /// Index of the entry.
+        entry: usize,
+        /// Duration in milliseconds.
+        ms: u64,
+    },
     /// The operator puts a data centre under cordon.
     Cordon {
         /// Index of the data centre.
@@ -203,6 +237,7 @@
             cores: vec![64_000, 64_000, 96_000],
             machines: Vec::new(),
             rate: 1,
+            kinds: JobKind::USUAL.to_vec(),
             arrivals: None,
             seconds: 1,
             lost_orders: None,
