soak: long tasks, lost orders while entries are killed, rolls beside entries cut off from the store

Change: in seeds from 50000 on, jobs of long tasks with a busy entry; executors that leave 30% of their orders unanswered and carry them out later; rolls of one data centre while entries of the other one are cut off from the store. Plans of lower seeds are as before.

--- a/components/standin/src/leased/serve.rs
+++ b/components/standin/src/leased/serve.rs
@@ -1,6 +1,6 @@
 //! The executor's HTTP API.
 
-use super::{ExecutorState, RunMonitor};
+use super::{ExecutorState, Loss, RunMonitor};
 use crate::serve::Loopback;
 use event_listener::Event;
 use parking_lot::Mutex;
@@ -207,6 +207,23 @@
         Time(self.epoch.elapsed().as_micros() as u64)
     }
 
+    async fn carry_out(&self, path: &str, body: &str) -> (u16, Value) {
+        match path {
+            "/-/run-start" => parse(body).map_or_else(malformed, |body| self.start(&body)),
+            "/-/run-stop" => parse(body).map_or_else(malformed, |body| self.stop(&body)),
+            "/-/hold" => match parse(body) {
+                Some(body) => self.hold(&body).await,
+                None => malformed(),
+            },
+            _ => (404, json!({})),
+        }
+    }
+
+    async fn carry_out_late(self: Arc<Self>, path: String, body: String, delay: Duration) {
+        Timer::after(delay).await;
+        self.carry_out(&path, &body).await;
+    }
+
     fn start(&self, body: &StartBody) -> (u16, Value) {
         let Some(run) = Run::parse(&body.task, body.run) else { return malformed() };
         let Ok(spec) = serde_json::from_str::<Spec>(&body.spec) else { return malformed() };
@@ -310,15 +327,14 @@
         let Ok(body) = conn.request_body_string().await else {
             return conn.with_status(Status::BadRequest).halt();
         };
-        let (status, response) = match path.as_str() {
-            "/-/run-start" => parse(&body).map_or_else(malformed, |body| shared.start(&body)),
-            "/-/run-stop" => parse(&body).map_or_else(malformed, |body| shared.stop(&body)),
-            "/-/hold" => match parse(&body) {
-                Some(body) => shared.hold(&body).await,
-                None => malformed(),
-            },
-            _ => (404, json!({})),
-        };
+        let loss = shared.state.lock().loss.as_mut().and_then(Loss::draw);
+        if let Some(delay) = loss {
+            // Carried out even if the client closes the connection before.
+            smol::spawn(shared.clone().carry_out_late(path, body, delay)).detach();
+            Timer::after(delay).await;
+            return conn.with_status(Status::BadGateway).halt();
+        }
+        let (status, response) = shared.carry_out(&path, &body).await;
         // The executor may have crashed since the order arrived.
         let (status, response) =
             if shared.state.lock().up { (status, response) } else { crashed() };
--- a/components/standin/src/leased/state.rs
+++ b/components/standin/src/leased/state.rs
@@ -1,6 +1,7 @@
 //! The state of one incarnation of a leased executor: its runs, the ends not acknowledged yet, the
 //! lease, and the highest fencing token.
 
+use super::Loss;
 use runs::{
     action::{Poll, Start},
     executor::{Ended, Incarnation, Listing, Refusal, Response, RunResult, StartResponse},
@@ -76,6 +77,8 @@
     pub run_time_percent: u64,
     /// How many of a hundred tasks started from now on hang.
     pub hang_percent: u32,
+    /// Which orders get lost; `None` loses none.
+    pub loss: Option<Loss>,
     /// Added up over starts; a task hangs each time that a hundred is reached, so that hangs are
     /// spread evenly.
     hang_sum: u32,
@@ -106,6 +109,7 @@
             kind: "a",
             run_time_percent: 100,
             hang_percent: 0,
+            loss: None,
             hang_sum: 0,
         }
     }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,7 +2,7 @@
 //! lost connection.
 
 use crate::{
-    document::{self, CALLER_TIMEOUT_MS, HOST, JOB_KINDS, JobKind},
+    document::{self, HOST, JOB_KINDS, JobKind, LASTING_JOB},
     history::{self, History, Outcome},
 };
 use endpoint::http::{Options, RawClient as Transport, RawRequest, RawResponse, RequestError};
@@ -37,6 +37,12 @@
 /// One attempt in this many may be abandoned before its answer.
 const LEAVE_ONE_IN: u32 = 12;
 
+/// Index of the entry that gets most jobs of long tasks.
+pub const BUSY_ENTRY: usize = 0;
+
+/// Part of the jobs of long tasks that are submitted to that entry first.
+const BUSY_ENTRY_PERCENT: u32 = 60;
+
 /// State that all callers of a play share.
 #[derive(Debug)]
 pub struct Shared {
@@ -57,6 +63,9 @@
 pub enum Load {
     /// Jobs of all kinds until `Shared::stop` is set.
     Usual,
+    /// Jobs of long tasks until `Shared::stop` is set, most of them to one entry, so that its own
+    /// executors can't run all of them.
+    Lasting,
     /// Jobs of one kind until a time.
     Surge {
         /// Index of the kind.
@@ -69,23 +78,32 @@
 impl Load {
     fn max_pause_ms(self) -> u64 {
         match self {
-            Load::Usual => MAX_PAUSE_MS,
+            Load::Usual | Load::Lasting => MAX_PAUSE_MS,
             Load::Surge { .. } => MAX_SURGE_PAUSE_MS,
         }
     }
 
     fn has_ended(self, shared: &Shared) -> bool {
         match self {
-            Load::Usual => shared.stop.load(Ordering::Relaxed),
+            Load::Usual | Load::Lasting => shared.stop.load(Ordering::Relaxed),
             Load::Surge { until, .. } => Instant::now() >= until,
         }
     }
 
+    /// Draws the entry that a job is submitted to first.
+    fn draw_entry(self, random: &mut ChaCha8Rng, entries: usize) -> usize {
+        match self {
+            Load::Lasting if random.random_ratio(BUSY_ENTRY_PERCENT, 100) => BUSY_ENTRY,
+            Load::Usual | Load::Lasting | Load::Surge { .. } => random.random_range(0..entries),
+        }
+    }
+
     fn draw_kind(self, random: &mut ChaCha8Rng) -> &'static JobKind {
         match self {
             Load::Usual => JOB_KINDS
                 .choose_weighted(random, |kind| kind.weight)
                 .expect("the weights are constants above 0"),
+            Load::Lasting => &LASTING_JOB,
             Load::Surge { kind, .. } => &JOB_KINDS[kind],
         }
     }
@@ -101,8 +119,7 @@
             return;
         }
         let name = document::name(number << 32 | job);
-        let kind = load.draw_kind(&mut random);
-        submit(&shared, &transport, &mut random, &name, kind).await;
+        submit(&shared, &transport, &mut random, &name, load).await;
     }
 }
 
@@ -111,13 +128,14 @@
     transport: &Transport,
     random: &mut ChaCha8Rng,
     name: &str,
-    kind: &JobKind,
+    load: Load,
 ) {
-    let body = document::job(u32::from(kind.tasks), kind.ms).to_string();
+    let kind = load.draw_kind(random);
+    let body = kind.job().to_string();
     let begun = Instant::now();
-    let mut entry = random.random_range(0..shared.entries.len());
+    let mut entry = load.draw_entry(random, shared.entries.len());
     loop {
-        let left = Duration::from_millis(CALLER_TIMEOUT_MS).saturating_sub(begun.elapsed());
+        let left = Duration::from_millis(kind.timeout_ms).saturating_sub(begun.elapsed());
         if left.is_zero() {
             return;
         }
--- a/soak/src/document.rs
+++ b/soak/src/document.rs
@@ -20,18 +20,51 @@
     pub tasks: u16,
     /// Milliseconds that a task takes.
     pub ms: u64,
+    /// Thousandths of a core that a task needs.
+    pub cpu: u32,
+    /// How long callers wait for the answer, in milliseconds.
+    pub timeout_ms: u64,
     /// Relative frequency.
     pub weight: u32,
 }
 
+/// Thousandths of a core that most tasks need: an executor runs two of them.
+const TASK_CPU: u32 = 27_000;
+
 /// The kinds of jobs.
 pub const JOB_KINDS: [JobKind; 3] = [
-    JobKind { path: "/wide/", tasks: 8, ms: 60, weight: 3 },
-    JobKind { path: "/long/", tasks: 4, ms: 450, weight: 1 },
-    JobKind { path: "/small/", tasks: 2, ms: 200, weight: 6 },
+    JobKind {
+        path: "/wide/",
+        tasks: 8,
+        ms: 60,
+        cpu: TASK_CPU,
+        timeout_ms: CALLER_TIMEOUT_MS,
+        weight: 3,
+    },
+    JobKind {
+        path: "/long/",
+        tasks: 4,
+        ms: 450,
+        cpu: TASK_CPU,
+        timeout_ms: CALLER_TIMEOUT_MS,
+        weight: 1,
+    },
+    JobKind {
+        path: "/small/",
+        tasks: 2,
+        ms: 200,
+        cpu: TASK_CPU,
+        timeout_ms: CALLER_TIMEOUT_MS,
+        weight: 6,
+    },
 ];
 
-/// How long callers wait for the answer to a job, in milliseconds.
+/// Jobs of long tasks that need little: a run that outlives its lease is still there when the task
+/// is started again, beside runs of other callers.
+pub const LASTING_JOB: JobKind =
+    JobKind { path: "/lasting/", tasks: 3, ms: 2_400, cpu: 7_500, timeout_ms: 7_000, weight: 1 };
+
+/// How long callers wait for the answer to other jobs, in milliseconds.
 pub const CALLER_TIMEOUT_MS: u64 = 3_000;
 
 /// A job fails when one of its tasks has failed this often.
@@ -39,11 +72,22 @@
 
 /// Returns a job of `tasks` tasks that run for `ms` milliseconds each.
 pub fn job(tasks: u32, ms: u64) -> Value {
-    let spec = json!({ "ms": ms, "cpu": 27_000 }).to_string();
+    job_with(tasks, ms, TASK_CPU)
+}
+
+impl JobKind {
+    /// Returns a job of this kind.
+    pub fn job(&self) -> Value {
+        job_with(u32::from(self.tasks), self.ms, self.cpu)
+    }
+}
+
+fn job_with(tasks: u32, ms: u64, cpu: u32) -> Value {
+    let spec = json!({ "ms": ms, "cpu": cpu }).to_string();
     json!({
         "spec": spec,
         "best_effort": true,
-        "steps": [{ "count": tasks, "cpu": 27_000, "mem_mb": 64, "estimated_ms": ms }],
+        "steps": [{ "count": tasks, "cpu": cpu, "mem_mb": 64, "estimated_ms": ms }],
     })
 }
 
@@ -60,15 +104,19 @@
 /// Returns a configuration with the queues for jobs and the marker queue that identifies its
 /// version.
 pub fn config(version: u64, timeout_ms: u64) -> Vec<u8> {
-    let route = |name: &str, prefix: &str| {
+    let route = |name: &str, prefix: &str, timeout_ms: u64| {
         json!({
             "name": name, "host": HOST, "prefix": prefix, "kind": "unsafe",
             "timeout_ms": timeout_ms, "target_duration_ms": 400, "priority": 0,
             "service": SERVICE, "max_attempts": MAX_ATTEMPTS, "stretch": 3.0,
         })
     };
-    let kinds = JOB_KINDS.iter().map(|kind| route("jobs", kind.path));
-    let others = [route("jobs", JOBS_PATH), route("marker", &marker_path(version))];
+    let kinds = JOB_KINDS.iter().map(|kind| route("jobs", kind.path, timeout_ms));
+    let others = [
+        route("jobs", JOBS_PATH, timeout_ms),
+        route("marker", &marker_path(version), timeout_ms),
+        route("lasting", LASTING_JOB.path, LASTING_JOB.timeout_ms),
+    ];
     let routes: Vec<_> = others.into_iter().chain(kinds).collect();
     let config = json!({
         "version": version,
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -11,7 +11,10 @@
 };
 use ::site::unit::Span;
 use smol::{Timer, lock::MutexGuard};
-use standin::{kv::Mode, leased::ExecutorState};
+use standin::{
+    kv::Mode,
+    leased::{ExecutorState, Loss},
+};
 use std::{
     sync::{
         Arc,
@@ -45,6 +48,9 @@
 /// How many of a hundred tasks an executor hangs that hangs a part of them.
 const HANG_PERCENT: u32 = 30;
 
+/// How many of a hundred orders an executor loses that loses orders.
+const LOST_PERCENT: u32 = 30;
+
 /// Callers of a surge for each caller that submits jobs all the time. They pause less, so that the
 /// executors have no room for most of their jobs.
 const SURGE_FACTOR: usize = 2;
@@ -169,6 +175,13 @@
                 };
                 self.misbehave(index, duration, hang).await;
             }
+            ExecutorFault::LoseOrders => {
+                let seed = self.callers.seed ^ index as u64;
+                let lose = move |state: &mut ExecutorState, loses: bool| {
+                    state.loss = loses.then(|| Loss::new(LOST_PERCENT, seed));
+                };
+                self.misbehave(index, duration, lose).await;
+            }
             ExecutorFault::Crash => self.crash(index, duration).await?,
             ExecutorFault::Leave => self.leave(index).await,
         }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,6 +1,6 @@
 //! Derives the faults of a play and their times from a seed.
 
-use crate::document::JOB_KINDS;
+use crate::{caller::BUSY_ENTRY, document::JOB_KINDS, site::data_centre};
 use derive_more::Display;
 use rand::{
     Rng, SeedableRng,
@@ -118,6 +118,9 @@
     /// It lets a part of the tasks hang that it starts.
     #[display("hangs a part of its tasks")]
     Hang,
+    /// It leaves a part of its orders unanswered and carries them out seconds later.
+    #[display("leaves orders unanswered")]
+    LoseOrders,
 }
 
 /// Fault of the store.
@@ -244,6 +247,33 @@
 /// stay what they were.
 const FIRST_SEED_WITH_SURGES: u64 = 40_000;
 
+/// Duration in milliseconds for which executors leave orders unanswered: a stop, its repetitions, and
+/// the next submission of the caller.
+const ORDER_LOSS_MS: u64 = 5_500;
+
+/// Time in milliseconds from then until an entry is killed, and from one such kill to the next.
+const ORDER_LOSS_KILL_MS: std::ops::RangeInclusive<u64> = 300..=1_500;
+
+/// Number of kills while orders are lost.
+const ORDER_LOSS_KILLS: std::ops::RangeInclusive<usize> = 1..=2;
+
+/// Duration in milliseconds for which entries are cut off from the store while others are rolled.
+/// Beyond the stops and starts of a data centre.
+const TURNED_AWAY_MS: u64 = 9_000;
+
+/// Of this many entries one is cut off, at least one in all.
+const TURNED_AWAY_ONE_IN: usize = 3;
+
+/// Time in milliseconds until the first of the others is stopped: registrations have lapsed by then.
+const ROLL_DELAY_MS: std::ops::RangeInclusive<u64> = 2_300..=3_000;
+
+/// Time in milliseconds from one planned stop to the next.
+const ROLL_GAP_MS: std::ops::RangeInclusive<u64> = 900..=1_300;
+
+/// Plans of lower seeds have no long tasks, lose no orders, and cut no entry off from the store while
+/// others are rolled, so that they stay what they were.
+const FIRST_SEED_WITH_LONG_TASKS: u64 = 50_000;
+
 /// Executors differ in speed in one play in this many of those with surges.
 const UNEVEN_ONE_IN: u32 = 2;
 
@@ -270,6 +300,11 @@
     Fleet { naming, speed }
 }
 
+/// Returns whether some callers submit jobs of long tasks in the play of a seed.
+pub fn has_long_tasks(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_LONG_TASKS
+}
+
 /// Returns the steps of a seed, in order of time.
 pub fn plan(seed: u64, size: &Size) -> Vec<Step> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -292,6 +327,10 @@
             push_hangs(&mut random, size, &mut steps);
         }
     }
+    if has_long_tasks(seed) && !planned_only {
+        push_order_losses(&mut random, size, &mut steps);
+        push_rolls(&mut random, size, &mut steps);
+    }
     steps.sort_by_key(|step| step.at);
     // At most a third of the executors may leave, so that the others can carry the load.
     let mut left = 0;
@@ -359,6 +398,42 @@
     }
 }
 
+/// Kills the entry that is the home of most long tasks while all executors leave orders unanswered.
+fn push_order_losses(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
+    let mut at = draw_time(random, size);
+    let duration = Duration::from_millis(ORDER_LOSS_MS);
+    for executor in 0..size.executors {
+        let fault = Fault::Executor(executor, ExecutorFault::LoseOrders);
+        steps.push(Step { at, duration, fault });
+    }
+    for _ in 0..random.random_range(ORDER_LOSS_KILLS) {
+        at += Duration::from_millis(random.random_range(ORDER_LOSS_KILL_MS));
+        let fault = Fault::Entry(BUSY_ENTRY, EntryFault::Kill);
+        steps.push(Step { at, duration, fault });
+    }
+}
+
+/// Cuts entries of one data centre, that of the busy entry, off from the store and stops the others in
+/// turn, so that new processes take executors over without knowing the homes of the runs there.
+fn push_rolls(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
+    let mut at = draw_time(random, size);
+    let of_first = |entry: &usize| data_centre(*entry) == data_centre(BUSY_ENTRY);
+    let (first, others): (Vec<_>, Vec<_>) = (0..size.entries).partition(of_first);
+    let duration = Duration::from_millis(TURNED_AWAY_MS);
+    for entry in first.into_iter().take((size.entries / TURNED_AWAY_ONE_IN).max(1)) {
+        steps.push(Step { at, duration, fault: Fault::Entry(entry, EntryFault::CutStore) });
+    }
+    at += Duration::from_millis(random.random_range(ROLL_DELAY_MS));
+    for entry in others {
+        steps.push(Step { at, duration, fault: Fault::Entry(entry, EntryFault::Terminate) });
+        at += Duration::from_millis(random.random_range(ROLL_GAP_MS));
+    }
+}
+
+fn draw_time(random: &mut ChaCha8Rng, size: &Size) -> Duration {
+    Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64))
+}
+
 /// Faults that an operator causes on purpose. The index is a placeholder.
 const PLANNED_FAULTS: [Fault; 3] = [
     Fault::Entry(0, EntryFault::Terminate),
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -39,6 +39,9 @@
 /// executor clock.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// One caller in this many submits jobs of all kinds in plays with long tasks; the others submit those.
+const USUAL_ONE_IN: usize = 4;
+
 /// Result of a play.
 #[derive(Debug, Display)]
 #[display(
@@ -139,9 +142,13 @@
 
 /// Starts all callers.
 fn start_callers(shared: &Arc<Shared>, size: &Size) -> Vec<Task<()>> {
-    let start = |_| {
+    let start = |index| {
         let number = shared.next_number.fetch_add(1, Ordering::Relaxed);
-        smol::spawn(caller::run(shared.clone(), number, Load::Usual))
+        let load = match plan::has_long_tasks(shared.seed) && index % USUAL_ONE_IN != 0 {
+            true => Load::Lasting,
+            false => Load::Usual,
+        };
+        smol::spawn(caller::run(shared.clone(), number, load))
     };
     (0..size.callers).map(start).collect()
 }
--- a/soak/src/site.rs
+++ b/soak/src/site.rs
@@ -201,7 +201,8 @@
     format!("servers/{name}")
 }
 
-fn data_centre(index: usize) -> &'static str {
+/// Returns the data centre of an entry or an executor.
+pub fn data_centre(index: usize) -> &'static str {
     DATA_CENTRES[index % DATA_CENTRES.len()]
 }
 
