--- a/components/runs/src/action/reason.rs
+++ b/components/runs/src/action/reason.rs
@@ -106,7 +106,8 @@
     HomeLost,
     /// The start got no response and the run is not listed.
     StartLost,
-    /// It was forwarded to this entry, and its home has not confirmed that in time.
+    /// Its task or its executor came from another keeper, and its home has not confirmed this one in
+    /// time.
     Unconfirmed,
     /// It ran for several times its estimate.
     Overdue,
--- a/components/runs/src/keeper/forward.rs
+++ b/components/runs/src/keeper/forward.rs
@@ -4,8 +4,11 @@
 //! the task's home before it starts the task, and stops it again unless the home confirms within
 //! [`CONFIRM_TIMEOUT`]. A home that loses the first keeper starts the task again after `lapse_wait`,
 //! 1,250 ms, so a run that it does not know of has to be over by then: the task is taken at most
-//! [`MAX_ELAPSED`] after the home sent it, and a lease of 700 ms that is renewed until the timeout
+//! [`MAX_ELAPSED`] after the home sent it, and a lease of 700 ms that is granted until the timeout
 //! ends 1,114 ms after that moment, by an executor's clock that is 2% slow.
+//!
+//! Runs that another keeper transferred with their executor are announced and confirmed in the same
+//! way. Their lease is not extended before that.
 
 use super::{Keeper, Ownership, Queued};
 use crate::{
@@ -28,7 +31,7 @@
 /// A forwarded task that its home sent longer ago than this is not taken.
 const MAX_ELAPSED: Span = Span::from_millis(150);
 
-/// A forwarded task is stopped if its home has not confirmed the new keeper within this time.
+/// A task or run from another keeper is stopped if its home has not confirmed the new keeper within this time.
 const CONFIRM_TIMEOUT: Span = Span::from_millis(250);
 
 /// How long a keeper notes where a task went: until its home knows the new keeper, or the loss of
@@ -54,7 +57,7 @@
     Closed,
 }
 
-/// Tasks that were forwarded by this keeper or to it.
+/// Tasks and runs that this keeper handed to another one, or got from it.
 #[derive(Debug, Default)]
 pub(super) struct Forwarding {
     /// Tasks that went to another keeper.
