--- a/components/runs/src/keeper/forward.rs
+++ b/components/runs/src/keeper/forward.rs
@@ -31,7 +31,8 @@
 /// A forwarded task that its home sent longer ago than this is not taken.
 const MAX_ELAPSED: Span = Span::from_millis(150);
 
-/// A task or run from another keeper is stopped if its home has not confirmed the new keeper within this time.
+/// A task or run from another keeper is stopped if its home has not confirmed the new keeper within
+/// this time.
 const CONFIRM_TIMEOUT: Span = Span::from_millis(250);
 
 /// How long a keeper notes where a task went: until its home knows the new keeper, or the loss of
@@ -137,8 +138,8 @@
         self.unconfirmed.contains_key(&task)
     }
 
-    /// Waits for the home of a run that `from` has transferred.
-    pub(super) fn await_confirmation(&mut self, now: Time, from: Home, moved: Moved) {
+    /// Records that the home of a run that `from` has transferred has to confirm this keeper.
+    pub(super) fn expect_confirmation(&mut self, now: Time, from: Home, moved: Moved) {
         let unconfirmed = Unconfirmed { from, run: moved.run, until: now + CONFIRM_TIMEOUT };
         self.unconfirmed.insert(moved.task, unconfirmed);
     }
@@ -244,13 +245,13 @@
             let unconfirmed = &mut self.forwarding.unconfirmed;
             if unconfirmed.get(&moved.task).is_some_and(|task| task.run == moved.run) {
                 unconfirmed.remove(&moved.task);
-                self.own_runs(moved.task);
+                self.set_owned(moved.task);
             }
         }
     }
 
-    /// Records that the home of a task relies on this keeper for it.
-    pub(super) fn own_runs(&mut self, task: Task) {
+    /// Records that the home of a task relies on this keeper for its runs.
+    pub(super) fn set_owned(&mut self, task: Task) {
         let runs = self.leases.values_mut().flat_map(|lease| lease.runs.values_mut());
         for live in runs.filter(|live| live.task == Some(task)) {
             if live.ownership == Ownership::Unconfirmed {
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -16,7 +16,8 @@
 };
 
 /// A start that must not extend the lease needs this much of it left, in milliseconds of the
-/// executor's clock. A confirmation takes one round trip to the home.
+/// executor's clock. A confirmation or a stop takes some milliseconds, and the lease can be extended
+/// again after it.
 const MIN_REMAINING_LEASE: RemoteTime = 300;
 
 /// How long a reading of an executor's clock counts as one of its current incarnation. Two polls of
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -129,7 +129,7 @@
                 false => {
                     self.update_usual_needs(&placement.needs);
                     if self.forwarding.forget(queued.task) {
-                        self.own_runs(queued.task);
+                        self.set_owned(queued.task);
                     }
                     self.queue.push(queued);
                 }
--- a/components/runs/src/keeper/transfer.rs
+++ b/components/runs/src/keeper/transfer.rs
@@ -93,7 +93,7 @@
                 false => Ownership::Unconfirmed,
             };
             if ownership == Ownership::Unconfirmed {
-                self.forwarding.await_confirmation(now, from, run);
+                self.forwarding.expect_confirmation(now, from, run);
             }
             let live = lease.inherited_run(now, &inherited, ownership);
             self.health.try_acquire(now, transferred.executor);
