review: case 4, a task runs twice after its keeper stood still; the dropped case

Cause: a keeper counts the silence of a home from when it handles the home's last messages, which may have waited while it stood still. Change: a script with three processes: one stands still for 0.43 s, the home of jobs is killed, then the first one; executors of the stand-in record when runs were there. The former case 7 (labels of a former life) is dropped: review/3 shows it.

--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -23,10 +23,13 @@
 pub struct Deployment {
     pub executors: Vec<Executor>,
     pub nodes: Vec<Node>,
-    _folder: Folder,
+    store: SocketAddr,
+    folder: Folder,
+    record: Record,
 }
 
 /// A job of one step whose caller waits for its end.
+#[derive(Clone)]
 pub struct Job {
     pub id: String,
     pub tasks: u32,
@@ -51,7 +54,27 @@
         site::wait_until_ready(&nodes, record)?;
         // Executors are shared out among both once they know each other.
         thread::sleep(Duration::from_secs(2));
-        Ok(Deployment { executors, nodes, _folder: folder })
+        Ok(Deployment { executors, nodes, store: address, folder, record: record.clone() })
+    }
+
+    /// Starts one more process.
+    pub fn add_node(&mut self, name: &str) -> io::Result<()> {
+        self.nodes.push(Node::start(name, ZONE, self.store, &self.folder.0)?);
+        Ok(())
+    }
+
+    /// Starts a process in place of one that was killed, under its name.
+    pub fn replace_node(&mut self, index: usize) -> io::Result<()> {
+        let name = self.nodes[index].name.clone();
+        self.nodes[index] = Node::start(&name, ZONE, self.store, &self.folder.0)?;
+        Ok(())
+    }
+
+    /// Waits until all processes are ready and have shared out the executors.
+    pub fn wait(&self) -> io::Result<()> {
+        site::wait_until_ready(&self.nodes, &self.record)?;
+        thread::sleep(Duration::from_secs(2));
+        Ok(())
     }
 
     /// All starts at the executors, in order.
@@ -70,12 +93,25 @@
         zone: ZONE.to_owned(),
         labels: ["a".to_owned(), rack.to_owned()],
         cpu: EXECUTOR_CPU,
-        has_born: false,
     }
 }
 
 /// Submits a job on an open connection, and records what was sent and answered.
 pub fn submit(record: &Record, connection: &mut Connection, job: &Job) -> io::Result<Response> {
+    let Job { id, tasks, ms, requirements, budget_ms } = job;
+    record.line(format!(
+        "POST {id}: {tasks} tasks of {ms} ms on {TASK_CPU} thousandths, requirements \"{requirements}\"; the caller waits {budget_ms} ms"
+    ));
+    let answer = send(connection, job);
+    match &answer {
+        Ok((status, body)) => record.line(format!("answer to POST {id}: {status} {body}")),
+        Err(error) => record.line(format!("no answer to POST {id}: {error}")),
+    }
+    answer
+}
+
+/// Submits a job on an open connection.
+pub fn send(connection: &mut Connection, job: &Job) -> io::Result<Response> {
     let Job { id, tasks, ms, requirements, budget_ms } = job;
     let spec = quote(&format!(r#"{{"ms":{ms},"cpu":{TASK_CPU}}}"#));
     let requirements = match requirements.as_str() {
@@ -91,15 +127,8 @@
         ("Content-Type", "application/json"),
         ("X-Remaining-Milliseconds", budget.as_str()),
     ];
-    record.line(format!("POST {id}, the caller waits {budget_ms} ms: {body}"));
-    let path = format!("{PREFIX}{id}");
     let limit = Duration::from_millis(budget_ms + 1_000);
-    let answer = connection.call("POST", &path, &headers, &body, limit);
-    match &answer {
-        Ok((status, body)) => record.line(format!("answer to POST {id}: {status} {body}")),
-        Err(error) => record.line(format!("no answer to POST {id}: {error}")),
-    }
-    answer
+    connection.call("POST", &format!("{PREFIX}{id}"), &headers, &body, limit)
 }
 
 /// Asks for the length of the queue.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,9 +7,9 @@
 mod deployment;
 mod drain;
 mod executor;
+mod freeze;
 mod http;
 mod json;
-mod reborn;
 mod record;
 mod site;
 mod store;
@@ -50,8 +50,8 @@
     let record = Record::create(folder)?;
     record.line(if has_trouble { "with the disruption" } else { "without the disruption" });
     let verdict = match name {
+        "freeze" => freeze::run(&record, has_trouble),
         "drain" => drain::run(&record, has_trouble),
-        "reborn" => reborn::run(&record, has_trouble),
         "crowd" => crowd::run(&record, has_trouble),
         "cancel" => cancel::run(&record, has_trouble),
         _ => Err(io::Error::other("no such case")),
