runs: date signs of life by when they were sent

Cause: a keeper counted a home as heard when it handled the home's message. After a pause of 430 ms it read what the home had sent before its death, extended the lease for up to 500 ms from then, and was killed before it would have stopped the run. In the record of the case the last extension is at 5428, 680 ms after the home's death at 4748, and the lease ends at 6142; the caller comes again at 6050.

Change: reports and the new message Alive carry a sign of life with an echo of the receiver's latest one. The receiver dates it by its own clock, with 2% of drift. A lease is extended only within 500 ms after such a date; placements, forwards and confirmations that can't be dated as recent keep nothing. A process that stood still vouches for the time before the pause until it has caught up, and stops nothing before that.

The new test of pauses with kills in faults.rs passes before as well.

--- a/components/runs/src/clock.rs
+++ b/components/runs/src/clock.rs
@@ -53,24 +53,49 @@
     }
 }
 
-/// The offset between another entry's clock and this one: the smallest difference seen, which is
-/// that of the message with the shortest transit time.
+/// What is known of another entry's clock: one reading, and a time at which it can't have been taken
+/// yet.
+///
+/// A message that crosses the network for long, or waits to be handled, makes its sender's times look
+/// later than they are. So a reading counts only with a message of this entry that the sender had
+/// handled before it took the reading.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Offset {
-    /// Local arrival time minus the sender's time, wrapping; `None` before the first message.
-    min_difference: Option<u64>,
+pub struct PeerClock {
+    reading: Option<Reading>,
 }
 
-impl Offset {
-    /// Returns how much longer than the fastest message this one, sent at `sent`, was in transit.
-    pub fn age(&mut self, now: Time, sent: Time) -> Span {
-        let difference = now.0.wrapping_sub(sent.0);
-        let min_difference = match self.min_difference {
-            // Compared by wrapping subtraction, since the two clocks have unrelated origins.
-            Some(min) if (difference.wrapping_sub(min) as i64) >= 0 => min,
-            _ => difference,
-        };
-        self.min_difference = Some(min_difference);
-        Span(difference.wrapping_sub(min_difference))
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    /// What the other clock showed.
+    shown: Time,
+    /// By this entry's clock, the reading was taken at this time or later.
+    earliest: Time,
+}
+
+impl PeerClock {
+    /// Applies a reading that was taken at `earliest` or later and is known at `now`. The one that tells
+    /// more is kept, unless it can't be true: the other clock was set.
+    pub fn update(&mut self, now: Time, shown: Time, earliest: Time) {
+        let tells_more = |known: Time| earliest < known && known <= now;
+        if !self.earliest(shown).is_some_and(tells_more) {
+            self.reading = Some(Reading { shown, earliest });
+        }
+    }
+
+    /// The earliest time by this entry's clock at which the other one can have shown `time`, whichever
+    /// of the two runs slow; `None` before the first reading.
+    pub fn earliest(&self, time: Time) -> Option<Time> {
+        let Reading { shown, earliest } = self.reading?;
+        let drift = |span: Span| Span(span.0 * MAX_SLOWNESS_PER_MILLE / 1_000);
+        Some(match time >= shown {
+            true => {
+                let passed = time.since(shown);
+                earliest + (passed - drift(passed))
+            }
+            false => {
+                let before = shown.since(time);
+                Time(earliest.0.saturating_sub((before + drift(before)).0))
+            }
+        })
     }
 }
--- a/components/runs/src/entry/forward.rs
+++ b/components/runs/src/entry/forward.rs
@@ -20,7 +20,7 @@
         forward: Forward,
         out: &mut Vec<Action>,
     ) {
-        let transit = self.clocks.entry(from).or_default().age(now, forward.placement.sent);
+        let transit = self.transit(now, from, forward.placement.sent);
         let home = forward.placement.job.home;
         let is_connected = self.view.is_connected_to(home);
         let taken = self.keeper.accept_forward(now, from, forward, transit, is_connected, out);
--- a/components/runs/src/entry/mod.rs
+++ b/components/runs/src/entry/mod.rs
@@ -1,16 +1,20 @@
 //! One entry: home of its callers' jobs and keeper of its executors.
 
+mod contact;
 mod forward;
 mod report;
+mod stall;
+
+use contact::{Contact, Standing};
+use stall::Progress;
 
 use crate::{
     Action, Cordon, Event, Message, Options,
     action::{Decision, Source},
-    clock::Offset,
     home::Jobs,
     job::Task,
     keeper::Keeper,
-    message::{Ended, Moved},
+    message::{Ended, Moved, Placement, Sign},
     outdated::OutdatedPeers,
     reports::Reports,
     view::View,
@@ -28,25 +32,6 @@
 /// Interval at which the kept executors are compared with the view when neither has changed.
 const RECONCILE_INTERVAL: Span = Span::from_secs(1);
 
-/// Number of peer clocks above which those of disconnected peers are dropped. Above the entries of
-/// a site and their restarts in a normal day.
-const MAX_CLOCKS: usize = 1_000;
-
-/// The latest sign of life of a peer.
-#[derive(Clone, Copy, Debug)]
-struct Contact {
-    /// When its connection came up or its latest message arrived.
-    at: Time,
-    /// Whether its runs were stopped since then, since it was silent for too long.
-    is_silent: bool,
-}
-
-impl Contact {
-    fn new(at: Time) -> Self {
-        Self { at, is_silent: false }
-    }
-}
-
 /// The state machine of an entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -56,12 +41,11 @@
     keeper: Keeper,
     view: View,
     configuration: u64,
-    /// The latest message of each connected peer.
-    last_contact: FxHashMap<Home, Contact>,
-    /// Clock offsets of peers, kept beyond their connections.
-    clocks: FxHashMap<Home, Offset>,
-    /// Time of the latest event.
-    latest_event: Time,
+    /// What each connected peer has let this entry know of itself.
+    contacts: FxHashMap<Home, Contact>,
+    progress: Progress,
+    /// Whether the leases of this entry's own runs may be extended.
+    own_standing: Standing,
     /// When the kept executors were last compared with the view.
     reconciled: Time,
     /// Whether the view has changed since then.
@@ -82,9 +66,9 @@
             keeper: Keeper::new(options),
             view: View::new(me, options.keeper_reserve),
             configuration: 0,
-            last_contact: FxHashMap::default(),
-            clocks: FxHashMap::default(),
-            latest_event: now,
+            contacts: FxHashMap::default(),
+            progress: Progress::new(now),
+            own_standing: Standing::Alive,
             reconciled: now,
             unreconciled: false,
             reports: Reports::default(),
@@ -96,16 +80,16 @@
 
     /// Handles an event and appends the actions that follow from it.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
-        let span = now.since(self.latest_event);
+        let span = self.progress.observe(now, &event);
         if span > self.options.pause_limit {
             self.handle_pause(now, span, out);
         }
-        self.latest_event = now;
-        self.stop_runs_of_unresponsive_homes(now, out);
+        self.update_standings(now, out);
         self.keeper.expire_unconfirmed(now, out);
         self.handle_event(now, event, out);
         self.schedule(now, out);
         self.update_watch(now, out);
+        self.insert_signs(now, out);
     }
 
     /// Whether the entry knows executors, its own or those of peers, that can run tasks.
@@ -176,34 +160,101 @@
         }
     }
 
-    /// Stops what runs for peers that have sent nothing for too long; they stay in the view. Runs
-    /// before any other handling, so that a process that did not run for a while renews no lease
-    /// for them.
-    fn stop_runs_of_unresponsive_homes(&mut self, now: Time, out: &mut Vec<Action>) {
+    /// Extends no lease any more for homes without a sign of life for too long, and stops what runs
+    /// for them; they stay in the view. Precedes any other handling, so that a process that did not
+    /// run for a while renews no lease for them. Their runs are stopped only once the signs that
+    /// arrived meanwhile are handled.
+    fn update_standings(&mut self, now: Time, out: &mut Vec<Action>) {
         let limit = self.options.peer_silence;
-        let mut unresponsive = Vec::new();
-        for (peer, contact) in &mut self.last_contact {
-            if !contact.is_silent && now.since(contact.at) > limit {
-                contact.is_silent = true;
-                unresponsive.push(*peer);
+        let (mut overdue, mut lost) = (Vec::new(), Vec::new());
+        for (peer, contact) in &mut self.contacts {
+            let is_alive = contact.silence(now).is_some_and(|silence| silence <= limit);
+            if is_alive || contact.standing == Standing::Lost {
+                continue;
+            }
+            if self.progress.is_behind() {
+                contact.standing = Standing::Overdue;
+                overdue.push(*peer);
+            } else {
+                contact.standing = Standing::Lost;
+                lost.push(*peer);
             }
         }
-        for peer in unresponsive {
-            self.keeper.home_silent(now, peer, out);
+        overdue.into_iter().for_each(|peer| self.keeper.suspend(peer));
+        lost.into_iter().for_each(|peer| self.keeper.home_silent(now, peer, out));
+        self.update_own_standing(now);
+    }
+
+    /// The same for this entry's own jobs, whose callers may have left while it did not run.
+    fn update_own_standing(&mut self, now: Time) {
+        let silence = now.since(self.progress.handled_until(now));
+        let standing = match silence > self.options.peer_silence {
+            true => Standing::Overdue,
+            false => Standing::Alive,
+        };
+        if standing == self.own_standing {
+            return;
+        }
+        self.own_standing = standing;
+        match standing {
+            Standing::Alive => self.keeper.resume(self.me),
+            Standing::Overdue | Standing::Lost => self.keeper.suspend(self.me),
+        }
+    }
+
+    /// Handles a sign of life of a connected peer.
+    fn observe_sign(&mut self, now: Time, from: Home, sign: Sign) {
+        let limit = self.options.peer_silence;
+        let Some(contact) = self.contacts.get_mut(&from) else { return };
+        contact.observe(now, sign);
+        if contact.silence(now).is_none_or(|silence| silence > limit) {
+            return;
+        }
+        let before = std::mem::replace(&mut contact.standing, Standing::Alive);
+        if before == Standing::Overdue {
+            self.keeper.resume(from);
+        }
+    }
+
+    /// Whether a home was certainly alive lately, so that its tasks may be started here.
+    fn is_alive(&self, home: Home) -> bool {
+        self.contacts.get(&home).is_some_and(|contact| contact.standing == Standing::Alive)
+    }
+
+    /// How long ago a peer sent something at most; `None` if that is not known.
+    fn transit(&self, now: Time, from: Home, sent: Time) -> Option<Span> {
+        self.contacts.get(&from)?.age(now, sent)
+    }
+
+    /// Puts a sign of life before what makes the receiver the keeper of tasks, unless it has got one
+    /// lately: it hears rarely from entries that it has no tasks of.
+    fn insert_signs(&mut self, now: Time, out: &mut Vec<Action>) {
+        let alive = self.progress.handled_until(now);
+        let limit = self.options.report_refresh;
+        let mut at = 0;
+        while let Some(action) = out.get(at) {
+            if let Action::Send { to, message: Message::Place(_) | Message::Confirmed(_) } = action
+                && let to = *to
+                && let Some(contact) = self.contacts.get_mut(&to)
+                && contact.needs_sign(now, limit)
+            {
+                let message = Message::Alive(contact.sign(now, alive));
+                out.insert(at, Action::Send { to, message });
+                at += 1;
+            }
+            at += 1;
         }
     }
 
     fn handle_message(&mut self, now: Time, from: Home, message: Message, out: &mut Vec<Action>) {
-        self.last_contact.insert(from, Contact::new(now));
+        if let Some(contact) = self.contacts.get_mut(&from) {
+            contact.heard = now;
+        }
         if self.jobs.peers.set_responsive(from) {
             out.push(Action::Log(Decision::Peer { peer: from, responsive: true }));
         }
         match message {
-            Message::Place(placement) => {
-                let offset = self.clocks.entry(from).or_default();
-                let transit = offset.age(now, placement.sent);
-                self.keeper.place(now, placement, transit);
-            }
+            Message::Place(placement) => self.accept_placement(now, from, placement),
             Message::Cancel(tasks) => self.keeper.cancel(now, &tasks, out),
             Message::Ended(ended) => {
                 for ended in &ended {
@@ -222,13 +273,22 @@
                 self.jobs.taken(now, from, &runs, out);
             }
             Message::Forward(forward) => self.accept_forward(now, from, forward, out),
-            Message::Confirmed(runs) => self.keeper.confirmed(from, &runs),
+            // Without a sign of life the runs are given up like those that are not confirmed.
+            Message::Confirmed(runs) if self.is_alive(from) => self.keeper.confirmed(from, &runs),
+            Message::Confirmed(_) => {}
+            Message::Alive(sign) => self.observe_sign(now, from, sign),
             Message::Returned(ended) => self.keeper.returned(from, &ended),
             // Handled by the process, which parses the document.
             Message::Configuration { .. } => {}
         }
     }
 
+    /// Queues a peer's tasks, or returns them if it may have given them up or be gone.
+    fn accept_placement(&mut self, now: Time, from: Home, placement: Placement) {
+        let transit = self.transit(now, from, placement.sent).filter(|_| self.is_alive(from));
+        self.keeper.place(now, placement, transit);
+    }
+
     /// Applies a cordon unless a later one is known.
     fn set_cordon(&mut self, now: Time, cordon: Cordon, source: Source, out: &mut Vec<Action>) {
         if !self.keeper.set_cordon(cordon) {
@@ -267,9 +327,9 @@
 
     fn peer_up(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.connect(peer);
-        self.last_contact.insert(peer, Contact::new(now));
+        self.contacts.insert(peer, Contact::new(now));
         let report = self.report(now);
-        out.push(self.report_to(peer, &report));
+        out.push(self.report_to(now, peer, &report));
         self.announce_unconfirmed(peer, out);
         let changed = self.view.connect(peer);
         self.view_changed(now, changed, out);
@@ -283,11 +343,7 @@
 
     fn peer_down(&mut self, now: Time, peer: Home, out: &mut Vec<Action>) {
         self.jobs.peers.disconnect(peer);
-        let heard = self.last_contact.remove(&peer).map_or(now, |contact| contact.at);
-        // A restored connection to the same process can use the offset again.
-        if self.clocks.len() > MAX_CLOCKS {
-            self.clocks.retain(|home, _| self.last_contact.contains_key(home));
-        }
+        let heard = self.contacts.remove(&peer).map_or(now, |contact| contact.heard);
         self.jobs.keeper_lost(now, peer);
         self.keeper.home_lost(now, peer, out);
         self.keeper.peer_lost(now, peer, out);
@@ -349,10 +405,7 @@
         loop {
             let own = self.jobs.expire(now, out);
             self.keeper.cancel(now, &own, out);
-            let (room, fixed) = (self.keeper.room(now), self.keeper.fixed_run_time());
-            for placement in self.jobs.place(now, room, fixed, out) {
-                self.keeper.place(now, placement, Span::ZERO);
-            }
+            self.place(now, out);
             self.keeper.start_queued(now, out);
             self.forward(now, out);
             self.keeper.return_queued(now, self.way());
@@ -365,6 +418,18 @@
         self.send_reports(now, out);
     }
 
+    /// Sends pending tasks to keepers, or queues them here. Not after a stall of the length after which
+    /// keepers return tasks: their callers may have left.
+    fn place(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now.since(self.progress.handled_until(now)) > self.options.stale_after {
+            return;
+        }
+        let (room, fixed) = (self.keeper.room(now), self.keeper.fixed_run_time());
+        for placement in self.jobs.place(now, room, fixed, out) {
+            self.keeper.place(now, placement, Some(Span::ZERO));
+        }
+    }
+
     fn send_ends(&mut self, now: Time, ends: Vec<Ended>, out: &mut Vec<Action>) {
         let mut homes: FxHashMap<Home, Vec<Ended>> = FxHashMap::default();
         for ended in ends {
--- a/components/runs/src/entry/report.rs
+++ b/components/runs/src/entry/report.rs
@@ -2,7 +2,11 @@
 
 use super::{Entry, forward::forwarders};
 use crate::{
-    Action, Message, action::Source, load::Load, message::Report, options::Supply,
+    Action, Message,
+    action::Source,
+    load::Load,
+    message::{Report, Sign},
+    options::Supply,
     reports::Recipients,
 };
 use site::{id::Home, unit::Time};
@@ -13,7 +17,7 @@
         let demand = self.jobs.demand(now);
         let data_centre_demand = self.jobs.peers.demand(now, self.me.data_centre, demand);
         Report {
-            sent: now,
+            sign: Sign::default(),
             room: self.keeper.room(now),
             capacity: self.keeper.capacity(),
             load,
@@ -60,7 +64,7 @@
             },
         };
         let due = self.reports.take_due(now, &report, supply, &recipients, &self.options);
-        out.extend(due.into_iter().map(|to| self.report_to(to, &report)));
+        out.extend(due.into_iter().map(|to| self.report_to(now, to, &report)));
     }
 
     /// Handles a peer's report. A peer that begins to have pending tasks gets a report of the room
@@ -72,7 +76,7 @@
         mut report: Report,
         out: &mut Vec<Action>,
     ) {
-        self.clocks.entry(from).or_default().age(now, report.sent);
+        self.observe_sign(now, from, report.sign);
         self.view.observe_revision(report.revision);
         let mut changed = self.view.set_leaving(from, report.leaving);
         self.view.record_losses(from, report.lost.clone(), report.highest_token);
@@ -93,15 +97,18 @@
         }
         if gains_work && !self.keeper.room(now).is_empty() {
             let report = self.report(now);
-            out.push(self.report_to(from, &report));
+            out.push(self.report_to(now, from, &report));
         }
         self.view_changed(now, changed, out);
     }
 
-    /// A report to one peer, with the speeds of kinds that it does not know yet.
-    pub(super) fn report_to(&mut self, to: Home, report: &Report) -> Action {
+    /// A report to one peer, with a sign of life and the speeds of kinds that it does not know yet.
+    pub(super) fn report_to(&mut self, now: Time, to: Home, report: &Report) -> Action {
         let kinds = self.keeper.speeds.take_unsent(to);
-        Action::Send { to, message: Message::Report(Report { kinds, ..report.clone() }) }
+        let alive = self.progress.handled_until(now);
+        let contact = self.contacts.get_mut(&to);
+        let sign = contact.map_or_else(Sign::default, |contact| contact.sign(now, alive));
+        Action::Send { to, message: Message::Report(Report { sign, kinds, ..report.clone() }) }
     }
 
     /// Updates which entries of this data centre are lost, and tells its keepers of new losses:
@@ -114,7 +121,7 @@
         if has_new {
             let report = self.report(now);
             let near: Vec<_> = self.view.local_keepers().collect();
-            out.extend(near.into_iter().map(|to| self.report_to(to, &report)));
+            out.extend(near.into_iter().map(|to| self.report_to(now, to, &report)));
         }
         let changed = self.view.confirm_losses();
         self.view_changed(now, changed, out);
--- a/components/runs/src/keeper/forward.rs
+++ b/components/runs/src/keeper/forward.rs
@@ -202,26 +202,27 @@
     }
 
     /// Queues tasks that another keeper forwarded, and returns them; `transit` is how long they took
-    /// from that keeper. Tasks that can't be kept are returned to it: those of a home that is not
+    /// from that keeper at most, if that is known. Tasks that can't be kept are returned to it: those of a home that is not
     /// connected, and those that their home sent too long ago.
     pub(crate) fn accept_forward(
         &mut self,
         now: Time,
         from: Home,
         forward: Forward,
-        transit: Span,
+        transit: Option<Span>,
         is_connected: bool,
         out: &mut Vec<Action>,
     ) -> Vec<Moved> {
         let Forward { placement, elapsed, mut visited } = forward;
-        let elapsed = elapsed + transit;
+        let is_known = transit.is_some();
+        let elapsed = elapsed + transit.unwrap_or_default();
         visited.push(from);
         let queued = |place| {
             let visited = visited.clone();
             Queued { visited, ..Queued::new(now, &placement, place, elapsed) }
         };
         let tasks: Vec<_> = placement.tasks.iter().map(queued).collect();
-        if !is_connected || elapsed > MAX_ELAPSED {
+        if !is_connected || !is_known || elapsed > MAX_ELAPSED {
             let ended = tasks.iter().map(|queued| queued.ended(End::NotRun)).collect();
             out.push(Action::Send { to: from, message: Message::Returned(ended) });
             return Vec::new();
--- a/components/runs/src/keeper/lease.rs
+++ b/components/runs/src/keeper/lease.rs
@@ -151,6 +151,8 @@
 pub(crate) enum Ownership {
     /// The home sent the task here or has confirmed this keeper.
     Owned,
+    /// The same, but no sign of life of the home is recent enough. One may be waiting to be handled.
+    Suspended,
     /// A former keeper handed the run over, or forwarded its task, and the home has not confirmed
     /// that yet.
     Unconfirmed,
--- a/components/runs/src/keeper/mod.rs
+++ b/components/runs/src/keeper/mod.rs
@@ -119,9 +119,11 @@
         !self.queue.is_empty()
     }
 
-    /// Queues tasks, or hands them back if they were in transit for too long.
-    pub(crate) fn place(&mut self, now: Time, placement: Placement, transit: Span) {
-        let stale = transit > self.options.stale_after;
+    /// Queues tasks that were in transit for `transit` at most. Hands them back if that is too long or
+    /// not known.
+    pub(crate) fn place(&mut self, now: Time, placement: Placement, transit: Option<Span>) {
+        let stale = transit.is_none_or(|transit| transit > self.options.stale_after);
+        let transit = transit.unwrap_or_default();
         for place in &placement.tasks {
             let queued = Queued::new(now, &placement, place, transit);
             match stale {
--- a/components/runs/src/keeper/stop.rs
+++ b/components/runs/src/keeper/stop.rs
@@ -27,6 +27,27 @@
         self.abandon(now, StopCause::HomeLost, |task| task.job.home == home, out);
     }
 
+    /// Extends no lease for a home until [`Keeper::resume`], and returns its queued tasks.
+    pub(crate) fn suspend(&mut self, home: Home) {
+        for queued in self.queue.extract(|queued| queued.task.job.home == home) {
+            self.ends.push(queued.ended(End::NotRun));
+        }
+        self.replace_ownership(home, Ownership::Owned, Ownership::Suspended);
+    }
+
+    /// Undoes [`Keeper::suspend`].
+    pub(crate) fn resume(&mut self, home: Home) {
+        self.replace_ownership(home, Ownership::Suspended, Ownership::Owned);
+    }
+
+    fn replace_ownership(&mut self, home: Home, from: Ownership, to: Ownership) {
+        let runs = self.leases.values_mut().flat_map(|lease| lease.runs.values_mut());
+        let is_of_home = |live: &&mut TrackedRun| live.task.is_some_and(|t| t.job.home == home);
+        for live in runs.filter(is_of_home).filter(|live| live.ownership == from) {
+            live.ownership = to;
+        }
+    }
+
     /// Stops what runs for a home that has sent nothing for too long. Tasks that it has not confirmed
     /// have a limit of their own: a home reports rarely to an entry that it does not know as keeper.
     pub(crate) fn home_silent(&mut self, now: Time, home: Home, out: &mut Vec<Action>) {
--- a/components/runs/src/message.rs
+++ b/components/runs/src/message.rs
@@ -55,6 +55,27 @@
     /// Forwarded tasks and transferred runs that the sender does not keep: the receiver, which had
     /// them before, has to tell their homes.
     Returned(Vec<Ended>),
+    /// A sign of life, for a keeper that has had none from its tasks' home for a while.
+    Alive(Sign),
+}
+
+/// Shows until when the sender was alive.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sign {
+    /// The sender vouches for its jobs until this time, by its clock: it had handled what was known of
+    /// their callers.
+    pub alive: Time,
+    /// The receiver's latest sign; `None` if the sender has handled none.
+    pub echo: Option<Echo>,
+}
+
+/// A sign that was handled.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Echo {
+    /// [`Sign::alive`], by the clock of who sent the sign.
+    pub alive: Time,
+    /// When it was handled, by the clock of who got it.
+    pub handled: Time,
 }
 
 /// Tasks of one job, sent to one keeper.
@@ -161,8 +182,8 @@
 /// A keeper's room, load and state.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
-    /// When it was sent, by the sender's clock.
-    pub sent: Time,
+    /// That the sender is alive.
+    pub sign: Sign,
     /// Tasks that may be sent to it now.
     pub room: Room,
     /// Number of tasks of usual size that its executors can run concurrently.
--- a/components/runs/tests/choice.rs
+++ b/components/runs/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use common::{
     executors::Scene,
-    fixture::{executor, home, job},
+    fixture::{executor, home, job, sign},
 };
 use lab::{
     pattern::Pattern,
@@ -60,7 +60,8 @@
 
 /// A report of the speeds of kinds, from another entry.
 fn speeds(now: Time, measures: &[Measure]) -> Event {
-    let report = Report { sent: now, idle: true, kinds: measures.to_vec(), ..Report::default() };
+    let report =
+        Report { sign: sign(now), idle: true, kinds: measures.to_vec(), ..Report::default() };
     Event::Message { from: home("entry-2"), message: Message::Report(report) }
 }
 
@@ -189,7 +190,8 @@
     let keepers = [("near", keeper_home("near", 1), near), ("far", keeper_home("far", 2), far)];
     for (_, peer, room) in &keepers {
         entry.handle(begun, Event::PeerUp { peer: *peer }, &mut out);
-        let report = Report { sent: begun, room: room.clone(), capacity: 8, ..Report::default() };
+        let report =
+            Report { sign: sign(begun), room: room.clone(), capacity: 8, ..Report::default() };
         let message = Message::Report(report);
         entry.handle(begun, Event::Message { from: *peer, message }, &mut out);
     }
--- a/components/runs/tests/common/fixture.rs
+++ b/components/runs/tests/common/fixture.rs
@@ -1,6 +1,10 @@
 //! One entry, one executor and one job, for tests that feed events to a single entry.
 
-use runs::{Executor, Job, job::Stretch};
+use runs::{
+    Executor, Job,
+    job::Stretch,
+    message::{Echo, Sign},
+};
 use site::{
     id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId},
     unit::{Cores, Resources, Slots, Span, Time},
@@ -52,3 +56,8 @@
         route: None,
     }
 }
+
+/// A sign of life that was sent just now by a peer whose clock shows the same time.
+pub(crate) fn sign(now: Time) -> Sign {
+    Sign { alive: now, echo: Some(Echo { alive: now, handled: now }) }
+}
--- a/components/runs/tests/common/network.rs
+++ b/components/runs/tests/common/network.rs
@@ -3,11 +3,11 @@
 use super::fixture::{executor, job};
 use runs::{
     Action, Decision, Entry, Event, Executor, Job, Message, Options,
-    executor::{Ended, Listing, Response, RunResult, StartResponse},
+    executor::{Ended, Listing, Response, RunResult, Service, StartResponse},
     job::{Answer, Run},
 };
 use site::{
-    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, WaiterId},
+    id::{DataCentreId, EndpointId, EntryId, Home, Incarnation, ServiceId, WaiterId},
     unit::{Cores, Resources, Revision, Slots, Span, Time},
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -38,6 +38,9 @@
     transit: VecDeque<(Home, Home, Message)>,
     /// Connections whose messages are held back.
     held: BTreeSet<(Home, Home)>,
+    /// Entries that do not run for a while, with the step in which they go on and what has arrived
+    /// for them meanwhile.
+    paused: BTreeMap<Home, (u64, Vec<Event>)>,
     /// Connections that deliver no reports of room.
     silenced: BTreeSet<(Home, Home)>,
     /// Whether stops and polls get lost.
@@ -94,6 +97,7 @@
             machines,
             transit: VecDeque::new(),
             held: BTreeSet::new(),
+            paused: BTreeMap::new(),
             silenced: BTreeSet::new(),
             loses_orders: false,
             loses_stops: false,
@@ -130,6 +134,12 @@
         self.handle(home, Event::Leave { waiter });
     }
 
+    /// Gives an entry a new version of the configuration, which it reports to its peers at once.
+    pub(crate) fn configure(&mut self, home: Home, version: u64) {
+        let service = Service { id: ServiceId::of("service"), guards_capacity: true };
+        self.handle(home, Event::Configured { version, services: vec![service] });
+    }
+
     /// Holds back the messages of a connection in one direction.
     pub(crate) fn hold(&mut self, from: Home, to: Home) {
         self.held.insert((from, to));
@@ -144,6 +154,11 @@
         self.silenced.insert((from, to));
     }
 
+    /// Keeps an entry from running for this time. It handles what arrives meanwhile when it goes on.
+    pub(crate) fn pause(&mut self, home: Home, ms: u64) {
+        self.paused.insert(home, (self.step + ms, Vec::new()));
+    }
+
     /// Ends an entry. What it has sent and is still in transit is lost with its connections.
     pub(crate) fn kill(&mut self, home: Home) {
         self.entries.remove(&home);
@@ -193,6 +208,11 @@
         for machine in self.machines.values_mut().filter(|machine| machine.deadline < clock) {
             machine.running.clear();
         }
+        let step = self.step;
+        let resumed = self.paused.extract_if(.., |_, (until, _)| *until <= step);
+        for (home, (_, backlog)) in resumed.collect::<Vec<_>>() {
+            backlog.into_iter().for_each(|event| self.handle(home, event));
+        }
         for (home, event) in self.due.remove(&self.step).unwrap_or_default() {
             self.handle(home, event);
         }
@@ -213,6 +233,13 @@
     }
 
     fn handle(&mut self, home: Home, event: Event) {
+        if let Some((_, backlog)) = self.paused.get_mut(&home) {
+            // A timer does not make up for missed ticks.
+            if !matches!(event, Event::Tick) {
+                backlog.push(event);
+            }
+            return;
+        }
         let mut actions = Vec::new();
         if let Some(entry) = self.entries.get_mut(&home) {
             entry.handle(self.now, event, &mut actions);
--- a/components/runs/tests/competing.rs
+++ b/components/runs/tests/competing.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::fixture::{home, job};
+use common::fixture::{home, job, sign};
 use lab::{
     pattern::{Pattern, Timed},
     simulation::Fault,
@@ -58,7 +58,7 @@
 }
 
 fn report(entry: &mut Entry, now: Time, from: Home, load: Load, demand: Demand) {
-    let report = Report { sent: now, load, demand: Box::new(demand), ..Report::default() };
+    let report = Report { sign: sign(now), load, demand: Box::new(demand), ..Report::default() };
     let message = Message::Report(report);
     entry.handle(now, Event::Message { from, message }, &mut Vec::new());
 }
@@ -216,7 +216,7 @@
     submit(&mut entry, START, short(START));
     for step in 1..=20 {
         let now = START + Span::from_millis(20 * step);
-        let report = Report { sent: now, load: CALM, ..Report::default() };
+        let report = Report { sign: sign(now), load: CALM, ..Report::default() };
         let message = Message::Report(report);
         entry.handle(now, Event::Message { from: peer, message }, &mut out);
         entry.handle(now, Event::Tick, &mut out);
--- a/components/runs/tests/cordon.rs
+++ b/components/runs/tests/cordon.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{executor, home, job, needs};
+use common::fixture::{executor, home, job, needs, sign};
 use lab::simulation::{Fault, Plan, Simulation};
 use runs::{
     Action, Cordon, Entry, Event, Executor, Job, Message, Options,
@@ -196,7 +196,7 @@
     site.feed(Event::Cordoned(cordon(70, &[1])));
     let peer = home("entry-2");
     site.feed(Event::PeerUp { peer });
-    let report = Report { sent: site.now, cordon: cordon(65, &[]), ..Report::default() };
+    let report = Report { sign: sign(site.now), cordon: cordon(65, &[]), ..Report::default() };
     site.feed(Event::Message { from: peer, message: Message::Report(report) });
     site.submit(2);
     assert_eq!(site.started, [other().id; 2]);
@@ -207,7 +207,7 @@
     let mut site = Site::start();
     let peer = home("entry-2");
     site.feed(Event::PeerUp { peer });
-    let report = Report { sent: site.now, cordon: cordon(65, &[1]), ..Report::default() };
+    let report = Report { sign: sign(site.now), cordon: cordon(65, &[1]), ..Report::default() };
     site.feed(Event::Message { from: peer, message: Message::Report(report) });
     site.submit(1);
     assert_eq!(site.started, [other().id]);
--- a/components/runs/tests/executor_losses.rs
+++ b/components/runs/tests/executor_losses.rs
@@ -5,7 +5,7 @@
 
 use common::{
     executors::{Process, Scene, named, renamed},
-    fixture::{home, job},
+    fixture::{home, job, sign},
 };
 use runs::{
     Action, Entry, Event, Executor, Job, Message, Options,
@@ -235,7 +235,7 @@
         let peer = home(keeper);
         self.handle(Event::PeerUp { peer });
         let room = Room { cores: vec![8_000], ahead: 0, speeds: Vec::new() };
-        let report = Report { sent: self.now, room, capacity: 8, ..Report::default() };
+        let report = Report { sign: sign(self.now), room, capacity: 8, ..Report::default() };
         self.handle(Event::Message { from: peer, message: Message::Report(report) });
     }
 
--- a/components/runs/tests/executor_watch.rs
+++ b/components/runs/tests/executor_watch.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::fixture::{executor, home, job};
+use common::fixture::{executor, home, job, sign};
 use runs::{
     Action, Cordon, Entry, Event, Message, Options,
     job::Answer,
@@ -65,7 +65,7 @@
 
     /// Delivers a report of a keeper in the entry's data centre.
     fn report(&mut self, peer: Home, report: Report) {
-        let report = Report { sent: self.now, capacity: 8, ..report };
+        let report = Report { sign: sign(self.now), capacity: 8, ..report };
         self.feed(Event::Message { from: peer, message: Message::Report(report) });
     }
 }
--- a/components/runs/tests/faults.rs
+++ b/components/runs/tests/faults.rs
@@ -201,6 +201,28 @@
     }
 }
 
+/// Guards against keepers that take what arrived while they did not run for signs of life: each pause
+/// has the kill of a home in it, and the keeper is killed some time after it.
+#[test]
+fn pauses_with_kills_beside_long_tasks_leave_no_task_running_twice() {
+    for seed in 0..40 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        for round in 0..4 {
+            let at = 900 + round * 2_700;
+            let home = random.random_range(0..4);
+            let keeper = (home + random.random_range(1..4)) % 4;
+            let ms = random.random_range(150..880);
+            faults.push((at, Fault::Freeze { entry: keeper, ms }));
+            faults.push((at + random.random_range(5..ms), Fault::Kill { entry: home }));
+            faults.push((at + random.random_range(300..1_000), Fault::Kill { entry: keeper }));
+        }
+        let plan = Plan { rate: 12, ..plan_of_long_tasks(faults) };
+        println!("seed {seed}: {plan:?}");
+        play(plan, seed);
+    }
+}
+
 #[test]
 fn random_faults_on_long_tasks_violate_no_invariant() {
     for seed in 200..230 {
--- a/components/runs/tests/floods.rs
+++ b/components/runs/tests/floods.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{home, job};
+use common::fixture::{home, job, sign};
 use lab::{
     pattern::Pattern,
     tally::{Group, Tally},
@@ -67,7 +67,7 @@
     ) -> (Option<Flood>, Span, Option<Span>) {
         self.now = self.now + STEP;
         let report = Report {
-            sent: self.now,
+            sign: sign(self.now),
             load: self.load,
             demand: Box::new(demand),
             ..Report::default()
--- a/components/runs/tests/forward_transfers.rs
+++ b/components/runs/tests/forward_transfers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{executor, home, job, needs};
+use common::fixture::{executor, home, job, needs, sign};
 use runs::{
     Action, Entry, Event, Message, Options,
     action::Poll,
@@ -99,7 +99,7 @@
         for _ in 0..ms / 5 {
             self.now = self.now + Span::from_millis(5);
             if self.is_home_heard {
-                let report = Report { sent: self.now, leaving: true, ..Report::default() };
+                let report = Report { sign: sign(self.now), leaving: true, ..Report::default() };
                 self.receive(self.home, Message::Report(report));
             }
             if self.is_connected {
@@ -107,7 +107,8 @@
                 let room = Room { cores, ..Room::default() };
                 let (sent, leaving) = (self.now, self.is_leaving);
                 let capacity = u32::from(!leaving) * 64;
-                let report = Report { sent, room, capacity, leaving, ..Report::default() };
+                let report =
+                    Report { sign: sign(sent), room, capacity, leaving, ..Report::default() };
                 self.receive(self.other, Message::Report(report));
             }
             self.handle(Event::Tick);
--- a/components/runs/tests/membership.rs
+++ b/components/runs/tests/membership.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{executor, home, job, needs};
+use common::fixture::{executor, home, job, needs, sign};
 use runs::{
     Action, Entry, Event, Executor, Message, Options,
     executor::{Listing, Response, StartResponse},
@@ -168,7 +168,7 @@
     let mut transferred_at = None;
     for step in 1..400 {
         let now = Time(step * 5_000);
-        let report = Report { sent: now, leaving: true, ..Report::default() };
+        let report = Report { sign: sign(now), leaving: true, ..Report::default() };
         let alive = Event::Message { from: former, message: Message::Report(report) };
         entry.handle(now, alive, &mut out);
         entry.handle(now, Event::Tick, &mut out);
--- a/components/runs/tests/mistaken_ends.rs
+++ b/components/runs/tests/mistaken_ends.rs
@@ -5,7 +5,7 @@
 
 use common::{
     executors::{Process, Scene, named, renamed},
-    fixture::{home, job, needs},
+    fixture::{home, job, needs, sign},
 };
 use runs::{
     Action, Entry, Event, Executor, Job, Message, Options,
@@ -198,7 +198,7 @@
 
     fn tick(&mut self) {
         self.now = self.now + Span::from_millis(5);
-        let report = Report { sent: self.now, leaving: true, ..Report::default() };
+        let report = Report { sign: sign(self.now), leaving: true, ..Report::default() };
         self.receive(Message::Report(report));
         self.handle(Event::Tick);
     }
@@ -318,7 +318,7 @@
     let from = |keeper, message| Event::Message { from: home(keeper), message };
     let report = |now, cores| {
         Message::Report(Report {
-            sent: now,
+            sign: sign(now),
             room: Room { cores, ahead: 0, speeds: Vec::new() },
             ..Report::default()
         })
--- a/components/runs/tests/moves.rs
+++ b/components/runs/tests/moves.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{home, job};
+use common::fixture::{home, job, sign};
 use runs::{
     Action, Entry, Event, Job, Message, Options,
     action::Decision,
@@ -55,7 +55,7 @@
         let peer = home(keeper);
         self.handle(Event::PeerUp { peer });
         let room = Room { cores: vec![8_000], ahead: 0, speeds: Vec::new() };
-        let report = Report { sent: self.now, room, capacity: 8, ..Report::default() };
+        let report = Report { sign: sign(self.now), room, capacity: 8, ..Report::default() };
         self.handle(Event::Message { from: peer, message: Message::Report(report) });
     }
 
--- a/components/runs/tests/outdated_peers.rs
+++ b/components/runs/tests/outdated_peers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::home;
+use common::fixture::{home, sign};
 use runs::{Entry, Event, Message, Options, message::Report};
 use site::{
     id::Home,
@@ -18,7 +18,7 @@
 
 /// Delivers a report with the configuration version that a peer knows.
 fn report(entry: &mut Entry, now: Time, from: Home, configuration: u64) {
-    let report = Report { sent: now, configuration, ..Report::default() };
+    let report = Report { sign: sign(now), configuration, ..Report::default() };
     let message = Message::Report(report);
     entry.handle(now, Event::Message { from, message }, &mut Vec::new());
 }
--- a/components/runs/tests/reports.rs
+++ b/components/runs/tests/reports.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{home, job};
+use common::fixture::{home, job, sign};
 use lab::simulation::{Plan, Simulation};
 use runs::{
     Action, Entry, Event, Message, Options,
@@ -106,7 +106,7 @@
         entry.handle(begun, Event::PeerUp { peer: *peer }, &mut out);
     }
     let room = Room { cores: vec![1_000], ahead: 0, speeds: Vec::new() };
-    let report = Report { sent: begun, room, capacity: 1, ..Report::default() };
+    let report = Report { sign: sign(begun), room, capacity: 1, ..Report::default() };
     entry.handle(
         begun,
         Event::Message { from: keeper, message: Message::Report(report) },
--- a/components/runs/tests/speed.rs
+++ b/components/runs/tests/speed.rs
@@ -4,7 +4,7 @@
 
 use common::{
     executors::{Scene, named},
-    fixture::home,
+    fixture::{home, sign},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -261,7 +261,7 @@
     };
     handle(0, Event::PeerUp { peer: old });
     let kinds = vec![row("a", 70, 300), row("b", 170, 300)];
-    let report = Report { sent: Time(1), kinds, ..Report::default() };
+    let report = Report { sign: sign(Time(1)), kinds, ..Report::default() };
     handle(5, Event::Tick);
     handle(10, Event::Message { from: old, message: Message::Report(report) });
     // The first tasks of an entry that restarts may start at once.
--- a/components/runs/tests/spread.rs
+++ b/components/runs/tests/spread.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{home, job};
+use common::fixture::{home, job, sign};
 use runs::{
     Action, Entry, Event, Message, Options,
     message::{Report, Room},
@@ -23,7 +23,7 @@
         let peer = home(&format!("keeper-{number}"));
         entry.handle(now, Event::PeerUp { peer }, &mut out);
         let room = Room { cores: vec![16_000 + number * 100], ahead: 0, speeds: Vec::new() };
-        let report = Report { sent: now, room, capacity: 16, ..Report::default() };
+        let report = Report { sign: sign(now), room, capacity: 16, ..Report::default() };
         entry.handle(
             now,
             Event::Message { from: peer, message: Message::Report(report) },
--- a/components/runs/tests/standby.rs
+++ b/components/runs/tests/standby.rs
@@ -4,7 +4,7 @@
 
 use common::{
     executors::named,
-    fixture::{home, job},
+    fixture::{home, job, sign},
 };
 use runs::{
     Action, Decision, Entry, Event, Executor, Message, Options,
@@ -122,9 +122,9 @@
         while self.now < until {
             self.now = self.now + TICK_INTERVAL;
             for (from, lost) in self.peers.clone() {
-                let (sent, revision) = (self.now, REVISION);
+                let (sign, revision) = (sign(self.now), REVISION);
                 let highest_token = FORMER_TOKEN;
-                let report = Report { sent, revision, lost, highest_token, ..Report::default() };
+                let report = Report { sign, revision, lost, highest_token, ..Report::default() };
                 self.feed(Event::Message { from, message: Message::Report(report) });
             }
             self.feed(Event::Tick);
--- a/components/runs/tests/transferred_runs.rs
+++ b/components/runs/tests/transferred_runs.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::fixture::{executor, home, job, needs};
+use common::fixture::{executor, home, job, needs, sign};
 use runs::{
     Action, Entry, Event, Job, Message, Options,
     action::{Poll, Start},
@@ -145,7 +145,7 @@
         let mut deadlines = Vec::new();
         for _ in 0..ms / 5 {
             self.now = self.now + Span::from_millis(5);
-            let report = Report { sent: self.now, leaving: true, ..Report::default() };
+            let report = Report { sign: sign(self.now), leaving: true, ..Report::default() };
             self.receive(self.former, Message::Report(report.clone()));
             if self.is_home_connected {
                 self.receive(self.home, Message::Report(report));
@@ -237,12 +237,25 @@
     scene.connect_home();
     assert_eq!(scene.announced(), [(scene.home, scene.moved())]);
     let moved = scene.moved();
+    scene.receive(scene.home, Message::Alive(sign(scene.now)));
     scene.receive(scene.home, Message::Confirmed(moved));
     let deadlines = scene.wait(400);
     assert!(!deadlines.is_empty(), "the lease was not extended");
     assert_eq!(scene.stops, []);
 }
 
+/// Guards against a confirmation that is handled late: its home may be gone.
+#[test]
+fn a_confirmation_without_a_recent_sign_of_its_home_keeps_no_run() {
+    let mut scene = Scene::new(false);
+    scene.connect_home();
+    let moved = scene.moved();
+    scene.receive(scene.home, Message::Confirmed(moved));
+    assert_eq!(scene.wait(240), [], "the lease was extended");
+    scene.wait(30);
+    assert_eq!(scene.stops, [run()]);
+}
+
 /// Guards against a start that extends the lease of a run which its home has not confirmed.
 #[test]
 fn nothing_starts_beside_a_transferred_run_before_its_home_has_confirmed_it() {
--- a/components/runs/tests/unresponsive.rs
+++ b/components/runs/tests/unresponsive.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::fixture::{home, job};
+use common::fixture::{home, job, sign};
 use runs::{
     Action, Entry, Event, Message, Options,
     message::{Report, Room},
@@ -17,7 +17,7 @@
 
 fn report() -> Message {
     let room = Room { cores: vec![64_000], ahead: 0, speeds: Vec::new() };
-    Message::Report(Report { sent: NOW, room, capacity: 64, ..Report::default() })
+    Message::Report(Report { sign: sign(NOW), room, capacity: 64, ..Report::default() })
 }
 
 /// An entry without executors that is connected to keepers with room.
--- a/spec/keeper.pml
+++ b/spec/keeper.pml
@@ -30,6 +30,7 @@
 #define KEEP_ORPHANS	6	/* K renews for a job whose caller has gone */
 #define BLIND_HEIR	7	/* a new keeper renews before it looks at what runs */
 #define RENEW_STOPPED	8	/* K renews for other runs on X while a stop has no answer */
+#define HEARD_ON_WAKE	9	/* a message counts from when K reads it */
 
 #ifndef MUTANT
 #define MUTANT NONE
@@ -52,6 +53,7 @@
 byte late;			/* deadline of a renewal on its way; 0 for none */
 byte late_left = 1;		/* renewals that may still be late */
 byte heard = 1;			/* when K last heard from H */
+byte unread;			/* when H sent the latest message that K has yet to read; 0 for none */
 byte broke;			/* when the caller saw the break; 0 for not yet */
 byte faults_left = FAULTS;
 bool first = true;		/* the first run is there */
@@ -86,7 +88,8 @@
 	:: atomic { first && now < END && (MUTANT == KEEP_ORPHANS || !told) ->
 		now++;
 		if
-		:: home && linked && keeper && !frozen -> heard = now
+		:: home && linked && keeper && !frozen -> heard = now; unread = 0
+		:: home && linked && keeper && frozen -> unread = now
 		:: else
 		fi;
 		if
@@ -141,6 +144,15 @@
 		skip
 #endif
 	}
+	/* Reads what arrived while it was frozen, at any time after. */
+	:: atomic { first && keeper && !frozen && unread != 0 ->
+#if MUTANT == HEARD_ON_WAKE
+		heard = now;
+#else
+		heard = unread;
+#endif
+		unread = 0
+	}
 	:: atomic { first && late != 0 ->
 #if MUTANT == RELATIVE
 		extend(now + LEASE + SLOW);
