soak: kill a home while a keeper of its runs is suspended

From seed 60000 on an entry is suspended for 150 to 480 ms, the home of most long tasks is killed meanwhile, and the suspended entry 500 to 900 ms after that. Plans of lower seeds stay what they were.

--- a/components/runs/src/entry/mod.rs
+++ b/components/runs/src/entry/mod.rs
@@ -43,6 +43,7 @@
     configuration: u64,
     /// What each connected peer has let this entry know of itself.
     contacts: FxHashMap<Home, Contact>,
+    /// Whether all events that arrived are handled.
     progress: Progress,
     /// Whether the leases of this entry's own runs may be extended.
     own_standing: Standing,
--- a/components/runs/src/keeper/forward.rs
+++ b/components/runs/src/keeper/forward.rs
@@ -202,8 +202,8 @@
     }
 
     /// Queues tasks that another keeper forwarded, and returns them; `transit` is how long they took
-    /// from that keeper at most, if that is known. Tasks that can't be kept are returned to it: those of a home that is not
-    /// connected, and those that their home sent too long ago.
+    /// from that keeper at most, if that is known. Tasks that can't be kept are returned to it: those
+    /// of a home that is not connected, and those that their home may have sent too long ago.
     pub(crate) fn accept_forward(
         &mut self,
         now: Time,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -274,6 +274,24 @@
 /// others are rolled, so that they stay what they were.
 const FIRST_SEED_WITH_LONG_TASKS: u64 = 50_000;
 
+/// Rounds of one suspended entry, of which the busy entry is killed in the suspension and the other one
+/// after it.
+const SUSPENDED_KILLS: std::ops::RangeInclusive<usize> = 1..=3;
+
+/// How long the entry is suspended, in milliseconds. Shorter than the silence after which an entry is
+/// considered lost.
+const SUSPENSION_MS: std::ops::RangeInclusive<u64> = 150..=480;
+
+/// Time in milliseconds from the kill of the busy entry until that of the other one.
+const SECOND_KILL_MS: std::ops::RangeInclusive<u64> = 500..=900;
+
+/// Time in milliseconds from one of these rounds to the next: callers have come again.
+const SUSPENDED_KILL_GAP_MS: std::ops::RangeInclusive<u64> = 2_500..=4_000;
+
+/// Plans of lower seeds kill no entry while another one is suspended on purpose, so that they stay what
+/// they were.
+const FIRST_SEED_WITH_SUSPENDED_KILLS: u64 = 60_000;
+
 /// Executors differ in speed in one play in this many of those with surges.
 const UNEVEN_ONE_IN: u32 = 2;
 
@@ -331,6 +349,9 @@
         push_order_losses(&mut random, size, &mut steps);
         push_rolls(&mut random, size, &mut steps);
     }
+    if seed >= FIRST_SEED_WITH_SUSPENDED_KILLS && !planned_only {
+        push_suspended_kills(&mut random, size, &mut steps);
+    }
     steps.sort_by_key(|step| step.at);
     // At most a third of the executors may leave, so that the others can carry the load.
     let mut left = 0;
@@ -430,6 +451,27 @@
     }
 }
 
+/// Kills the home of most long tasks while an entry that keeps some of their runs is suspended, and that
+/// one soon after it goes on.
+fn push_suspended_kills(random: &mut ChaCha8Rng, size: &Size, steps: &mut Vec<Step>) {
+    let mut at = draw_time(random, size);
+    for _ in 0..random.random_range(SUSPENDED_KILLS) {
+        let keeper = (BUSY_ENTRY + random.random_range(1..size.entries.max(2))) % size.entries;
+        let suspension = random.random_range(SUSPENSION_MS);
+        let until_kill = Duration::from_millis(random.random_range(10..suspension));
+        let until_second = Duration::from_millis(random.random_range(SECOND_KILL_MS));
+        let duration = Duration::from_millis(suspension);
+        let times = [
+            (at, keeper, EntryFault::Freeze),
+            (at + until_kill, BUSY_ENTRY, EntryFault::Kill),
+            (at + until_kill + until_second, keeper, EntryFault::Kill),
+        ];
+        let step = |(at, entry, fault)| Step { at, duration, fault: Fault::Entry(entry, fault) };
+        steps.extend(times.map(step));
+        at += Duration::from_millis(random.random_range(SUSPENDED_KILL_GAP_MS));
+    }
+}
+
 fn draw_time(random: &mut ChaCha8Rng, size: &Size) -> Duration {
     Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64))
 }
