--- a/review/standin-3/executor.rs
+++ b/review/standin-3/executor.rs
@@ -1,7 +1,5 @@
 //! An executor, as PROTOCOL.md tells it. How long a task works stands in its spec, in words:
-//! `work=333` milliseconds on the rack `data=r1`, `far=3` times as long on any other rack, on
-//! `cpu=27000` thousandths of a core; its first `fails=1` runs end `failed` after that time. It
-//! enforces its capacity.
+//! `work=900` milliseconds on `cpu=27000` thousandths of a core. It enforces its capacity.
 
 use crate::{
     http::{self, Answer, Request},
@@ -23,14 +21,10 @@
 const CAPACITY_CPU: u64 = 64_000;
 const MOST_ENDS: usize = 500;
 
-/// How often each task has failed, on all executors.
-static FAILURES: Mutex<BTreeMap<String, u64>> = Mutex::new(BTreeMap::new());
-
 struct Running {
     started: Instant,
     work: Duration,
     cpu: u64,
-    how: &'static str,
 }
 
 #[derive(Default)]
@@ -46,7 +40,6 @@
 
 struct Shared {
     name: String,
-    rack: String,
     began: Instant,
     record: Record,
     state: Mutex<State>,
@@ -64,7 +57,6 @@
 pub fn start(setup: &Setup, at: SocketAddr, store: &Store, record: &Record) -> io::Result<()> {
     let shared = Arc::new(Shared {
         name: setup.name.to_owned(),
-        rack: setup.rack.to_owned(),
         began: Instant::now(),
         record: record.clone(),
         state: Mutex::default(),
@@ -113,7 +105,7 @@
             .running
             .iter()
             .filter_map(|(run, running)| match running.started.elapsed() >= running.work {
-                true => Some((run.clone(), running.how)),
+                true => Some((run.clone(), "done")),
                 false => lapsed.then(|| (run.clone(), "lapsed")),
             })
             .collect();
@@ -199,15 +191,9 @@
         if used + cpu > CAPACITY_CPU {
             return self.refuse("room");
         }
-        let is_far = word("data").is_some_and(|(_, rack)| rack != self.rack);
-        let factor = if is_far { number("far").unwrap_or(1) } else { 1 };
-        let work = Duration::from_millis(number("work").unwrap_or(0) * factor);
-        let how = match take_failure(&task, number("fails").unwrap_or(0)) {
-            true => "failed",
-            false => "done",
-        };
+        let work = Duration::from_millis(number("work").unwrap_or(0));
         self.record.note(format!("start  {} {task} run {run}", self.name));
-        state.running.insert((task, run), Running { started: Instant::now(), work, cpu, how });
+        state.running.insert((task, run), Running { started: Instant::now(), work, cpu });
         Some((200, format!("{{\"clock_ms\":{}}}", self.clock())))
     }
 
@@ -249,11 +235,3 @@
         ))
     }
 }
-
-/// Whether this start of a task whose first `most` runs fail is one of them.
-fn take_failure(task: &str, most: u64) -> bool {
-    let mut failures = FAILURES.lock().unwrap();
-    let count = failures.entry(task.to_owned()).or_default();
-    *count += 1;
-    *count <= most
-}
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,7 +6,6 @@
 mod json;
 mod record;
 mod site;
-mod stop;
 mod store;
 mod wake;
 
@@ -22,7 +21,6 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new();
     let result = match name.as_str() {
-        "stop" => stop::run(trouble, &record),
         "wake" => wake::run(trouble, &record),
         _ => {
             eprintln!("no such case: {name}");
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -177,23 +177,12 @@
         }
     }
 
-    /// Whether the process has ended, with its status.
-    pub fn ended(&mut self) -> Option<String> {
-        let status = self.child.as_mut()?.try_wait().ok()??;
-        Some(status.to_string())
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
         }
     }
-
-    /// The node's log.
-    pub fn log(&self) -> String {
-        fs::read_to_string(self.folder.join(format!("{}.log", self.name))).unwrap_or_default()
-    }
 }
 
 /// A number that no other executor of this process has.
