platform: count a caller's wait from the earliest arrival of its request

What callers saw: a task ran twice at the same time.

Cause: the wait that a caller states was counted from the moment at which its request was read, for a slow body even from the end of the body, and for a request behind another one from the response to that. Only the end of the connection told that the caller had left, and that may arrive later.

Ruled out: an end of the connection that is there and not seen (in the records it reaches the entry 460 ms after the starts); a run that outlives its lease (the runs of before the pause have lapsed 2.3 s earlier); a run number (executors differ). The entry knew that it had not run: it logs `paused`, and answers the jobs that were open before.

Change: `arrival` bounds when a request can have arrived: from the rounds in which the process reads its sockets, from the latest time at which the socket or the queue of new connections was empty, and from the kernel's time stamp of the bytes, unless the wall clock was set meanwhile. The wait counts from there.

Bytes that the network holds up are not covered: neither clock sees them.

--- a/components/runner/src/clock.rs
+++ b/components/runner/src/clock.rs
@@ -1,5 +1,6 @@
 //! The process's clock.
 
+use arrival::Clocks;
 use rustix::time::{ClockId, clock_gettime};
 use site::unit::Time;
 
@@ -10,7 +11,16 @@
 impl Clock {
     /// Time since the machine booted.
     pub fn now(self) -> Time {
-        let now = clock_gettime(ClockId::Boottime);
-        Time(now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000)
+        read(ClockId::Boottime)
     }
+
+    /// Time since the machine booted, and time since 1970.
+    pub(crate) fn read_both(self) -> Clocks {
+        Clocks { steady: self.now(), wall: read(ClockId::Realtime) }
+    }
+}
+
+fn read(clock: ClockId) -> Time {
+    let now = clock_gettime(clock);
+    Time(now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000)
 }
--- a/components/runner/src/engine.rs
+++ b/components/runner/src/engine.rs
@@ -1,6 +1,7 @@
 //! Feeds events to [`runs::Entry`] and carries out its actions.
 
 use crate::{Clock, DecisionLog, Metrics, Orders, watch::ExecutorWatch};
+use arrival::{Moment, Rounds};
 use async_channel::{Receiver, Sender};
 use link::{Incoming, Node};
 use parking_lot::Mutex;
@@ -57,6 +58,7 @@
     decision_log: DecisionLog,
     metrics: Metrics,
     clock: Clock,
+    rounds: Mutex<Rounds>,
     node: OnceLock<Arc<Node<Message>>>,
     executor_watch: ExecutorWatch,
     exited: (Sender<()>, Receiver<()>),
@@ -105,6 +107,7 @@
             decision_log: setup.decision_log,
             metrics: setup.metrics,
             clock,
+            rounds: Mutex::new(Rounds::new(clock.read_both())),
             node: OnceLock::new(),
             executor_watch: ExecutorWatch::default(),
             exited: async_channel::bounded(1),
@@ -147,6 +150,11 @@
         core.actions = actions;
     }
 
+    /// Describes the present moment, for readers of sockets.
+    pub fn moment(&self) -> Moment {
+        self.rounds.lock().moment(self.clock.read_both())
+    }
+
     /// Whether this entry can serve callers.
     pub fn can_serve(&self) -> bool {
         let core = self.core.lock();
@@ -187,6 +195,7 @@
     pub async fn run_timer(self: Arc<Self>) {
         loop {
             timer::next_tick().await;
+            self.rounds.lock().begin(self.clock.read_both());
             let unresponsive = self.node.get().map(|node| node.unresponsive(RESPONSE_TIMEOUT));
             for peer in unresponsive.unwrap_or_default() {
                 self.feed(Event::PeerUnresponsive { peer });
--- a/components/server/src/lib.rs
+++ b/components/server/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod body;
+pub mod connection;
 pub mod handler;
 pub mod header;
 pub mod job;
