--- a/components/endpoint/src/http/raw.rs
+++ b/components/endpoint/src/http/raw.rs
@@ -3,7 +3,7 @@
 use crate::{
     classify::Failure,
     http::{Meter, Options, Request, host::Hosts},
-    reply::Unsent,
+    reply::{Loss, Unsent},
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -54,6 +54,9 @@
     /// The request was sent at least in part, and may be executed.
     #[display("the connection ended before the response")]
     Lost,
+    /// The response is larger than this client reads; the request was executed, or rejected.
+    #[display("the response is larger than {BODY_LIMIT} bytes")]
+    TooLarge,
     /// The request was sent at least in part when the timeout ended it, and may be executed.
     #[display("timed out waiting for the response")]
     TimedOut,
@@ -133,6 +136,7 @@
                 }
                 Err(Failure::Unsent(Unsent::Closed)) if !is_new => {}
                 Err(Failure::Unsent(why)) => return Err(RequestError::Unsent(why)),
+                Err(Failure::Lost(Loss::TooLarge)) => return Err(RequestError::TooLarge),
                 Err(Failure::Lost(_) | Failure::Dead) => return Err(RequestError::Lost),
             }
         }
--- a/components/standin/src/kv/serve.rs
+++ b/components/standin/src/kv/serve.rs
@@ -20,6 +20,12 @@
 /// Interval between checks for expired leases.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum number of items of a page.
+const PAGE_ITEMS: usize = 500;
+
+/// Size of the values of a page, in base64, from which it gets no further item.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// How long an unresponsive store holds a call before it fails it with status 503.
 const UNRESPONSIVE_CALL_DURATION: Duration = Duration::from_secs(30);
 
@@ -200,16 +206,20 @@
         }
     }
 
+    /// Returns a page of items: at least one, and no further ones beyond its size.
     fn range(&self, prefix: &str, after: &str) -> Value {
         let state = self.state.lock();
         let wanted = |key: &str| key.starts_with(prefix) && (after.is_empty() || key > after);
-        let items: Vec<_> = state
-            .items
-            .iter()
-            .filter(|(key, _)| wanted(key))
-            .map(|(key, item)| render(key, item))
-            .collect();
-        json!({ "items": items, "has_more": false, "as_of": state.revision })
+        let mut wanted = state.items.iter().filter(|(key, _)| wanted(key)).peekable();
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        while let Some((key, item)) =
+            wanted.next_if(|_| items.len() < PAGE_ITEMS && bytes < PAGE_BYTES)
+        {
+            bytes += item.value.len();
+            items.push(render(key, item));
+        }
+        let has_more = wanted.peek().is_some();
+        json!({ "items": items, "has_more": has_more, "as_of": state.revision })
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -201,7 +201,7 @@
             (504, _) => Outcome::GivenUp,
             (status, _) => Outcome::Unexpected(status),
         },
-        Err(RequestError::Lost) => Outcome::Disconnected,
+        Err(RequestError::Lost | RequestError::TooLarge) => Outcome::Disconnected,
         Err(RequestError::TimedOut) => Outcome::TimedOut,
         Err(RequestError::Unsent(_) | RequestError::Invalid) => Outcome::Unsent,
     }
