lab, soak: callers that give up unseen and come again

Callers waited for every answer or left at once visibly, and none came again after its wait.

Change: in the laboratory callers may wait for a set time, leave, which their entry sees 0.5 s later, and submit the job again elsewhere; entries count the wait by `arrival::Rounds`, as the process does.

--- a/components/runs/tests/faults.rs
+++ b/components/runs/tests/faults.rs
@@ -72,6 +72,23 @@
     }
 }
 
+/// Guards against requests that an entry takes for new after it did not run: their callers have given up
+/// and submitted the jobs again, and the ends of their connections arrive later.
+#[test]
+fn requests_that_were_not_read_in_a_freeze_run_nowhere_twice() {
+    let mut completed = 0;
+    for seed in 0..40 {
+        let faults = (0..3).map(|n| {
+            let ms = 2_700 + seed * 30;
+            (500 + n * 3_000 + seed * 17, Fault::Freeze { entry: n as usize, ms })
+        });
+        let kinds = vec![JobKind { tasks: 2, ms: 700 }];
+        let plan = Plan { kinds, wait_ms: Some(1_500), ..plan(faults.collect()) };
+        completed += count(&play(Plan { trace: false, ..plan }, seed), "completed");
+    }
+    assert!(completed > 40 * 50, "{completed} completed");
+}
+
 #[test]
 fn a_keeper_that_was_frozen_renews_no_lease_for_a_dead_home() {
     for seed in 0..60 {
--- a/lab/src/simulation/callers.rs
+++ b/lab/src/simulation/callers.rs
@@ -2,8 +2,8 @@
 //! connection.
 
 use super::{
-    ANSWER_TOLERANCE_US, Arrival, CALLER_DELAY_US, Caller, FIRST_JOB_US, JobKind, Outcome,
-    RESEND_DELAY_US, Record, SECOND_US, Simulation, Step, Work,
+    ANSWER_TOLERANCE_US, Arrival, CALLER_DELAY_US, Caller, FIRST_JOB_US, JobKind, LEAVE_DELAY_US,
+    Node, Outcome, RESEND_DELAY_US, Record, SECOND_US, Simulation, Step, Work,
     arrival::job_at,
     layout::{needs, service},
 };
@@ -104,7 +104,7 @@
             priority: 0,
             max_failures: 4,
             due: self.now + objective,
-            give_up: self.now + Span(objective.0 * 3),
+            give_up: self.now + self.plan.wait_ms.map_or(Span(objective.0 * 3), Span::from_millis),
             first_run: 1,
             stretch: Stretch(160),
             route: None,
@@ -124,8 +124,13 @@
         let node = up[self.random.random_range(0..up.len())];
         job.first_run += self.next_job as u32 % 3;
         let waiter = self.callers.len() as u64 + 1;
-        let caller = Caller { node, job: job.clone(), arrival, answered: false, left: false };
+        let submitted = self.now;
+        let caller =
+            Caller { node, submitted, job: job.clone(), arrival, answered: false, left: false };
         self.callers.insert(waiter, caller);
+        if self.plan.wait_ms.is_some() {
+            self.at(job.give_up, Step::GiveUp(waiter));
+        }
         self.handle_event(node, Event::Submit { waiter: WaiterId(waiter), job });
     }
 
@@ -231,6 +236,26 @@
             .sum()
     }
 
+    /// A caller that still has no answer leaves, and submits its job again. Its entry sees that later.
+    pub(super) fn end_wait(&mut self, waiter: u64) {
+        let Some(caller) = self.callers.get_mut(&waiter) else { return };
+        if caller.answered || caller.left {
+            return;
+        }
+        caller.left = true;
+        let (node, arrival, mut job) = (caller.node, caller.arrival, caller.job.clone());
+        let again = self.now + Span(RESEND_DELAY_US);
+        let wait = job.give_up.since(caller.submitted);
+        job.due = again + job.due.since(caller.submitted);
+        job.give_up = again + wait;
+        self.broken.insert(job.name.to_string());
+        self.at(again, Step::Resubmit(job, arrival));
+        let Node { home, frozen_until, .. } = &self.nodes[node];
+        let seen = (*frozen_until).max(self.now) + Span(LEAVE_DELAY_US);
+        let leave = Event::Leave { waiter: WaiterId(waiter) };
+        self.at(seen, Step::HandleEvent(node, home.incarnation, leave));
+    }
+
     /// Ends the connections of a process's callers, who submit their jobs again.
     pub(super) fn disconnect_callers(&mut self, node: usize) {
         let mut resubmissions = Vec::new();
--- a/lab/src/simulation/mod.rs
+++ b/lab/src/simulation/mod.rs
@@ -17,8 +17,10 @@
 pub use plan::{DataCentre, Fault, JobKind, Machine, Plan};
 pub use traffic::{PlacedFar, Traffic};
 
+use ::arrival::Rounds;
 use compact_str::CompactString;
 use layout::{capacity, executor, home};
+use nodes::clocks;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use runs::{
@@ -51,6 +53,9 @@
 const ORDER_TIMEOUT_US: u64 = 300_000;
 /// Delay until a caller submits its job again after a lost connection.
 const RESEND_DELAY_US: u64 = 1_300_000;
+/// Time from the end of a caller's wait, or from the end of a pause of its entry, until the entry sees
+/// that the caller has left.
+const LEAVE_DELAY_US: u64 = 500_000;
 /// How long a registration remains after the end of its process.
 const REGISTRATION_TTL_US: u64 = 2_000_000;
 /// Microseconds of a second: the unit of `Retry-After`.
@@ -69,6 +74,8 @@
     /// Until when the store turns it away.
     turned_away_until: Time,
     listed: bool,
+    /// In which its process reads requests.
+    rounds: Rounds,
     exited: bool,
     /// Whether it is started again once it has exited.
     is_rolled: bool,
@@ -84,6 +91,7 @@
 
 struct Caller {
     node: usize,
+    submitted: Time,
     job: Job,
     /// Index of its arrival; `None` for a generated job.
     arrival: Option<usize>,
@@ -100,11 +108,17 @@
 #[derive(Debug)]
 enum Step {
     HandleEvent(usize, Incarnation, Event),
-    Deliver { from: Home, to: usize, message: Message },
+    Deliver {
+        from: Home,
+        to: usize,
+        message: Message,
+    },
     Order(usize, Incarnation, Order),
     Submit,
     Arrive(usize),
     Resubmit(Job, Option<usize>),
+    /// A caller's wait is over.
+    GiveUp(u64),
     Tick(usize, Incarnation),
     BeginFault(Fault),
     EndFault(Fault),
@@ -200,6 +214,7 @@
             blind_until: Time(0),
             turned_away_until: Time(0),
             listed: false,
+            rounds: Rounds::new(clocks(Time(0))),
             exited: false,
             is_rolled: false,
         });
@@ -311,6 +326,7 @@
             }
             Step::Tick(node, incarnation) => {
                 if self.nodes[node].home.incarnation == incarnation && self.is_up(node) {
+                    self.begin_round(node);
                     self.handle_event(node, Event::Tick);
                     self.after(TICK.0, Step::Tick(node, incarnation));
                 }
@@ -324,6 +340,7 @@
             Step::Submit => self.submit_generated(),
             Step::Arrive(arrival) => self.arrive(arrival),
             Step::Resubmit(job, arrival) => self.submit(job, arrival),
+            Step::GiveUp(waiter) => self.end_wait(waiter),
             Step::BeginFault(fault) => self.begin_fault(fault),
             Step::EndFault(fault) => self.end_fault(fault),
             Step::Restart(node) => self.start_entry(node),
--- a/lab/src/simulation/nodes.rs
+++ b/lab/src/simulation/nodes.rs
@@ -1,6 +1,7 @@
 //! Starts and connects entries, passes events to them and carries out their actions.
 
 use super::{FIRST_JOB_US, NETWORK_DELAY_US, Order, PlacedFar, Progress, Simulation, Step};
+use ::arrival::{Clocks, Rounds};
 use rand::Rng;
 use runs::{Action, Decision, Entry, Event, Executor, Message, action::KeepChange, entry::TICK};
 use site::{
@@ -20,6 +21,7 @@
         entry.home.incarnation = Incarnation(fresh);
         entry.entry = Some(Entry::new(entry.home, self.plan.options, now));
         entry.listed = true;
+        entry.rounds = Rounds::new(clocks(now));
         entry.exited = false;
         let incarnation = entry.home.incarnation;
         self.after(TICK.0, Step::Tick(node, incarnation));
@@ -117,6 +119,7 @@
             self.at(until, step);
             return;
         }
+        let event = self.read(node, event);
         let mut actions = Vec::new();
         let now = self.now;
         if let Some(entry) = &mut self.nodes[node].entry {
@@ -127,6 +130,29 @@
         }
     }
 
+    /// Begins a round in which an entry reads requests, unless it is frozen.
+    pub(super) fn begin_round(&mut self, node: usize) {
+        if self.nodes[node].frozen_until <= self.now {
+            self.nodes[node].rounds.begin(clocks(self.now));
+        }
+    }
+
+    /// Counts the wait of a caller that may leave from the earliest arrival of its request, as the process
+    /// does.
+    fn read(&self, node: usize, event: Event) -> Event {
+        match event {
+            Event::Submit { waiter, mut job } if self.plan.wait_ms.is_some() => {
+                if let Some(caller) = self.callers.get(&waiter.0) {
+                    let wait = caller.job.give_up.since(caller.submitted);
+                    let read_until = self.nodes[node].rounds.moment(clocks(self.now)).read_until;
+                    job.give_up = read_until + wait;
+                }
+                Event::Submit { waiter, job }
+            }
+            event => event,
+        }
+    }
+
     fn record_keeper(&mut self, node: usize, decision: &Decision) {
         let Decision::Keep { executor, change, .. } = decision else { return };
         match change {
@@ -194,3 +220,8 @@
         }
     }
 }
+
+/// What the clocks of all machines show at `now`. None of them is ever set.
+pub(super) fn clocks(now: Time) -> Clocks {
+    Clocks { steady: now, wall: now }
+}
--- a/lab/src/simulation/plan.rs
+++ b/lab/src/simulation/plan.rs
@@ -47,6 +47,9 @@
     pub trace: bool,
     /// How often a caller submits a refused job again.
     pub retries: u32,
+    /// How long callers of generated jobs wait, in milliseconds. After that they leave, which their entry
+    /// sees late, and submit the job again. `None` for callers that wait for every answer.
+    pub wait_ms: Option<u64>,
     /// Seconds that callers wait before that; `None` follows `Retry-After`.
     pub retry_after_s: Option<u64>,
 }
@@ -245,6 +248,7 @@
             options: Options::default(),
             trace: false,
             retries: 0,
+            wait_ms: None,
             retry_after_s: None,
         }
     }
--- a/soak/src/caller.rs
+++ b/soak/src/caller.rs
@@ -2,8 +2,9 @@
 //! lost connection.
 
 use crate::{
-    document::{self, HOST, JOB_KINDS, JobKind, LASTING_JOB},
+    document::{self, BRIEF_JOB, HOST, JOB_KINDS, JobKind, LASTING_JOB},
     history::{self, History, Outcome},
+    plan,
 };
 use endpoint::http::{Options, RawClient as Transport, RawRequest, RawResponse, RequestError};
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
@@ -34,10 +35,13 @@
 /// The same in a surge.
 const MAX_SURGE_PAUSE_MS: u64 = 200;
 
+/// Number of attempts to submit a job for which a caller waits briefly.
+const BRIEF_ATTEMPTS: usize = 2;
+
 /// One attempt in this many may be abandoned before its answer.
 const LEAVE_ONE_IN: u32 = 12;
 
-/// Index of the entry that gets most jobs of long tasks.
+/// Index of the entry that gets most jobs of long tasks and of callers that wait briefly.
 pub const BUSY_ENTRY: usize = 0;
 
 /// Part of the jobs of long tasks that are submitted to that entry first.
@@ -59,13 +63,16 @@
 }
 
 /// Which jobs a caller submits, and how long.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Load {
     /// Jobs of all kinds until `Shared::stop` is set.
     Usual,
     /// Jobs of long tasks until `Shared::stop` is set, most of them to one entry, so that its own
     /// executors can't run all of them.
     Lasting,
+    /// Jobs for which they wait briefly, until `Shared::stop` is set. They leave as soon as they no longer
+    /// wait, and submit the job once more.
+    Brief,
     /// Jobs of one kind until a time.
     Surge {
         /// Index of the kind.
@@ -79,13 +86,13 @@
     fn max_pause_ms(self) -> u64 {
         match self {
             Load::Usual | Load::Lasting => MAX_PAUSE_MS,
-            Load::Surge { .. } => MAX_SURGE_PAUSE_MS,
+            Load::Surge { .. } | Load::Brief => MAX_SURGE_PAUSE_MS,
         }
     }
 
     fn has_ended(self, shared: &Shared) -> bool {
         match self {
-            Load::Usual | Load::Lasting => shared.stop.load(Ordering::Relaxed),
+            Load::Usual | Load::Lasting | Load::Brief => shared.stop.load(Ordering::Relaxed),
             Load::Surge { until, .. } => Instant::now() >= until,
         }
     }
@@ -93,8 +100,36 @@
     /// Draws the entry that a job is submitted to first.
     fn draw_entry(self, random: &mut ChaCha8Rng, entries: usize) -> usize {
         match self {
-            Load::Lasting if random.random_ratio(BUSY_ENTRY_PERCENT, 100) => BUSY_ENTRY,
-            Load::Usual | Load::Lasting | Load::Surge { .. } => random.random_range(0..entries),
+            Load::Lasting | Load::Brief if random.random_ratio(BUSY_ENTRY_PERCENT, 100) => {
+                BUSY_ENTRY
+            }
+            Load::Usual | Load::Lasting | Load::Brief | Load::Surge { .. } => {
+                random.random_range(0..entries)
+            }
+        }
+    }
+
+    /// Returns how long the caller of a job still waits, `elapsed` after it first submitted the job. One
+    /// that waits briefly takes the whole time again for its second attempt.
+    fn left(self, kind: &JobKind, elapsed: Duration, attempts: usize) -> Duration {
+        let timeout = Duration::from_millis(kind.timeout_ms);
+        match self {
+            Load::Brief if attempts < BRIEF_ATTEMPTS => timeout,
+            Load::Brief => Duration::ZERO,
+            Load::Usual | Load::Lasting | Load::Surge { .. } => timeout.saturating_sub(elapsed),
+        }
+    }
+
+    /// Draws when the caller leaves without an answer, if it does. In plays with brief jobs none leaves
+    /// before its wait is over: entries can't know of it while the ends of connections are held up.
+    fn draw_leave(self, random: &mut ChaCha8Rng, left: Duration, seed: u64) -> Option<Duration> {
+        let leaves = random.random_ratio(1, LEAVE_ONE_IN);
+        let early = leaves.then(|| Duration::from_millis(random.random_range(1..400)));
+        match self {
+            Load::Brief => Some(left),
+            Load::Usual | Load::Lasting | Load::Surge { .. } => {
+                early.filter(|_| !plan::has_brief_jobs(seed))
+            }
         }
     }
 
@@ -104,6 +139,7 @@
                 .choose_weighted(random, |kind| kind.weight)
                 .expect("the weights are constants above 0"),
             Load::Lasting => &LASTING_JOB,
+            Load::Brief => &BRIEF_JOB,
             Load::Surge { kind, .. } => &JOB_KINDS[kind],
         }
     }
@@ -134,18 +170,17 @@
     let body = kind.job().to_string();
     let begun = Instant::now();
     let mut entry = load.draw_entry(random, shared.entries.len());
-    loop {
-        let left = Duration::from_millis(kind.timeout_ms).saturating_sub(begun.elapsed());
+    for attempts in 0.. {
+        let left = load.left(kind, begun.elapsed(), attempts);
         if left.is_zero() {
             return;
         }
         let attempt = shared.history.begin(name, kind.tasks, entry);
         let request = build_request(kind.path, name, attempt, &body, left);
-        let leaves_after =
-            random.random_ratio(1, LEAVE_ONE_IN).then(|| random.random_range(1..400));
+        let leaves_after = load.draw_leave(random, left, shared.seed);
         let leave = async {
             match leaves_after {
-                Some(ms) => Timer::after(Duration::from_millis(ms)).await,
+                Some(after) => Timer::after(after).await,
                 None => smol::future::pending().await,
             };
             None
@@ -158,6 +193,7 @@
             Outcome::Disconnected | Outcome::GivenUp | Outcome::Unexpected(_) => {
                 Timer::after(RESEND_DELAY).await;
             }
+            Outcome::Left if load == Load::Brief => drop(Timer::after(RESEND_DELAY).await),
             Outcome::Completed
             | Outcome::Failed
             | Outcome::Refused { .. }
--- a/soak/src/document.rs
+++ b/soak/src/document.rs
@@ -64,6 +64,10 @@
 pub const LASTING_JOB: JobKind =
     JobKind { path: "/lasting/", tasks: 3, ms: 2_400, cpu: 7_500, timeout_ms: 7_000, weight: 1 };
 
+/// Jobs whose callers wait little longer than the tasks run, and submit them again.
+pub const BRIEF_JOB: JobKind =
+    JobKind { path: "/brief/", tasks: 2, ms: 700, cpu: 7_500, timeout_ms: 1_500, weight: 1 };
+
 /// How long callers wait for the answer to other jobs, in milliseconds.
 pub const CALLER_TIMEOUT_MS: u64 = 3_000;
 
@@ -116,6 +120,7 @@
         route("jobs", JOBS_PATH, timeout_ms),
         route("marker", &marker_path(version), timeout_ms),
         route("lasting", LASTING_JOB.path, LASTING_JOB.timeout_ms),
+        route("brief", BRIEF_JOB.path, BRIEF_JOB.timeout_ms),
     ];
     let routes: Vec<_> = others.into_iter().chain(kinds).collect();
     let config = json!({
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -39,6 +39,9 @@
 /// Time from the crash of an executor until the store removes its registration.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time from the end of a suspension until the entry sees that callers have left in it.
+const END_DELAY: Duration = Duration::from_millis(500);
+
 /// Delay of each direction of a slow connection.
 const NETWORK_DELAY: Duration = Duration::from_millis(60);
 
@@ -70,24 +73,33 @@
     pub caller_count: usize,
 }
 
+/// Forwards everything at once.
+const FORWARD: proxy::Mode = proxy::Mode {
+    to_target: Forwarding::Immediate,
+    from_target: Forwarding::Immediate,
+    end: Forwarding::Immediate,
+};
+
 /// Blocks both directions.
 const BLOCK_BOTH: proxy::Mode =
-    proxy::Mode { to_target: Forwarding::Blocked, from_target: Forwarding::Blocked };
+    proxy::Mode { to_target: Forwarding::Blocked, from_target: Forwarding::Blocked, ..FORWARD };
 
 /// Forwards requests and blocks the responses.
-const BLOCK_RESPONSES: proxy::Mode =
-    proxy::Mode { to_target: Forwarding::Immediate, from_target: Forwarding::Blocked };
+const BLOCK_RESPONSES: proxy::Mode = proxy::Mode { from_target: Forwarding::Blocked, ..FORWARD };
 
 /// Blocks requests.
-const BLOCK_REQUESTS: proxy::Mode =
-    proxy::Mode { to_target: Forwarding::Blocked, from_target: Forwarding::Immediate };
+const BLOCK_REQUESTS: proxy::Mode = proxy::Mode { to_target: Forwarding::Blocked, ..FORWARD };
 
 /// Delays both directions.
 const DELAY_BOTH: proxy::Mode = proxy::Mode {
     to_target: Forwarding::Delayed(NETWORK_DELAY),
     from_target: Forwarding::Delayed(NETWORK_DELAY),
+    ..FORWARD
 };
 
+/// Forwards all but the ends of what callers send.
+const BLOCK_ENDS: proxy::Mode = proxy::Mode { end: Forwarding::Blocked, ..FORWARD };
+
 impl Injector {
     /// Injects a fault and returns when it is over.
     ///
@@ -129,6 +141,7 @@
             EntryFault::Kill => self.kill(entry, duration.min(MAX_DOWNTIME)).await?,
             EntryFault::Lose => self.kill(entry, duration).await?,
             EntryFault::Freeze => self.freeze(entry, duration).await?,
+            EntryFault::FreezeUnnoticed => self.freeze_unnoticed(entry, duration).await?,
             EntryFault::Terminate => self.terminate(entry).await?,
             EntryFault::ResetCallers => self.site.nodes[entry].callers.reset(),
             EntryFault::CutPeers => self.with_peer_mode(entry, BLOCK_BOTH, duration).await,
@@ -254,6 +267,17 @@
         Ok(process.resume()?)
     }
 
+    /// Suspends an entry. That callers leave meanwhile reaches it only some time after it goes on, as
+    /// the end of a connection that is sent again and again in growing intervals.
+    async fn freeze_unnoticed(&self, entry: usize, duration: Duration) -> Result<(), Error> {
+        let callers = &self.site.nodes[entry].callers;
+        callers.set(BLOCK_ENDS);
+        let frozen = self.freeze(entry, duration).await;
+        Timer::after(END_DELAY).await;
+        callers.set(FORWARD);
+        frozen
+    }
+
     async fn terminate(&self, entry: usize) -> Result<(), Error> {
         let mut process = self.process(entry).await;
         process.terminate()?;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -63,6 +63,9 @@
     /// Its process is suspended.
     #[display("is suspended")]
     Freeze,
+    /// The same, and for a while longer it does not see that callers have left.
+    #[display("is suspended, and sees late that callers have left")]
+    FreezeUnnoticed,
     /// Its process gets SIGTERM, and another one is started once it has ended.
     #[display("gets SIGTERM")]
     Terminate,
@@ -292,6 +295,21 @@
 /// they were.
 const FIRST_SEED_WITH_SUSPENDED_KILLS: u64 = 60_000;
 
+/// How long an entry is suspended that sees late that callers have left, in milliseconds: beyond the time
+/// after which they come again to another entry.
+const UNNOTICED_MS: std::ops::RangeInclusive<u64> = 2_600..=4_000;
+
+/// Number of such suspensions.
+const UNNOTICED_COUNT: std::ops::RangeInclusive<usize> = 2..=3;
+
+/// Time in milliseconds from one of them to the next.
+const UNNOTICED_GAP_MS: std::ops::RangeInclusive<u64> = 5_000..=6_000;
+
+/// Plans of lower seeds have no such suspensions and no callers of brief jobs, so that they stay what
+/// they were. Those from here on have neither surges, long tasks nor further kills: too few brief jobs
+/// would be sent to a suspended entry.
+const FIRST_SEED_WITH_BRIEF_JOBS: u64 = 70_000;
+
 /// Executors differ in speed in one play in this many of those with surges.
 const UNEVEN_ONE_IN: u32 = 2;
 
@@ -320,7 +338,12 @@
 
 /// Returns whether some callers submit jobs of long tasks in the play of a seed.
 pub fn has_long_tasks(seed: u64) -> bool {
-    seed >= FIRST_SEED_WITH_LONG_TASKS
+    (FIRST_SEED_WITH_LONG_TASKS..FIRST_SEED_WITH_BRIEF_JOBS).contains(&seed)
+}
+
+/// Returns whether some callers submit jobs for which they wait briefly, in the play of a seed.
+pub fn has_brief_jobs(seed: u64) -> bool {
+    seed >= FIRST_SEED_WITH_BRIEF_JOBS
 }
 
 /// Returns the steps of a seed, in order of time.
@@ -336,6 +359,10 @@
             push_crashes(&mut random, size, &mut steps);
         }
     }
+    if has_brief_jobs(seed) {
+        push_unnoticed(&mut random, &mut steps);
+        return in_order(steps, size);
+    }
     if seed >= FIRST_SEED_WITH_LOSSES && !planned_only {
         push_losses(&mut random, size, &mut steps);
     }
@@ -352,6 +379,11 @@
     if seed >= FIRST_SEED_WITH_SUSPENDED_KILLS && !planned_only {
         push_suspended_kills(&mut random, size, &mut steps);
     }
+    in_order(steps, size)
+}
+
+/// Sorts the steps by time, and leaves out those of too many executors that leave.
+fn in_order(mut steps: Vec<Step>, size: &Size) -> Vec<Step> {
     steps.sort_by_key(|step| step.at);
     // At most a third of the executors may leave, so that the others can carry the load.
     let mut left = 0;
@@ -472,6 +504,18 @@
     }
 }
 
+/// Suspends the busy entry while callers give up and submit their jobs again, and lets their leaving be seen
+/// late.
+fn push_unnoticed(random: &mut ChaCha8Rng, steps: &mut Vec<Step>) {
+    let mut at = Duration::ZERO;
+    for _ in 0..random.random_range(UNNOTICED_COUNT) {
+        let duration = Duration::from_millis(random.random_range(UNNOTICED_MS));
+        let fault = Fault::Entry(BUSY_ENTRY, EntryFault::FreezeUnnoticed);
+        steps.push(Step { at, duration, fault });
+        at += Duration::from_millis(random.random_range(UNNOTICED_GAP_MS));
+    }
+}
+
 fn draw_time(random: &mut ChaCha8Rng, size: &Size) -> Duration {
     Duration::from_millis(random.random_range(0..size.faults_for.as_millis() as u64))
 }
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -144,9 +144,11 @@
 fn start_callers(shared: &Arc<Shared>, size: &Size) -> Vec<Task<()>> {
     let start = |index| {
         let number = shared.next_number.fetch_add(1, Ordering::Relaxed);
-        let load = match plan::has_long_tasks(shared.seed) && index % USUAL_ONE_IN != 0 {
-            true => Load::Lasting,
-            false => Load::Usual,
+        let load = match index % USUAL_ONE_IN {
+            0 => Load::Usual,
+            1 | 2 if plan::has_brief_jobs(shared.seed) => Load::Brief,
+            _ if plan::has_long_tasks(shared.seed) => Load::Lasting,
+            _ => Load::Usual,
         };
         smol::spawn(caller::run(shared.clone(), number, load))
     };
--- a/soak/src/proxy.rs
+++ b/soak/src/proxy.rs
@@ -43,6 +43,8 @@
     pub to_target: Forwarding,
     /// From the target to the side that connects.
     pub from_target: Forwarding,
+    /// The end of what the side that connects sends, once all of that is forwarded.
+    pub end: Forwarding,
 }
 
 /// A running proxy. Stops when it is dropped.
@@ -70,10 +72,12 @@
 }
 
 /// Direction of the bytes of a connection.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Eq, PartialEq)]
 enum Direction {
     ToTarget,
     FromTarget,
+    /// The end of the bytes to the target.
+    End,
 }
 
 impl Proxy {
@@ -200,6 +204,9 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         if count == 0 {
+            if direction == Direction::ToTarget {
+                shared.wait_to_forward(Direction::End).await;
+            }
             return to.shutdown(std::net::Shutdown::Write);
         }
         to.write_all(&buffer[..count]).await?;
@@ -219,6 +226,7 @@
         let forwarding = |state: &State| match direction {
             Direction::ToTarget => state.mode.to_target,
             Direction::FromTarget => state.mode.from_target,
+            Direction::End => state.mode.end,
         };
         let now = forwarding(&self.state.lock());
         match now {
