platform: keep the connection after a body that is too large

A connection that is closed with unread bytes is reset, and the caller may lose its 400. Now the tracker takes the latest read for the beginning of the next request there.

--- a/components/arrival/src/tracker.rs
+++ b/components/arrival/src/tracker.rs
@@ -29,6 +29,9 @@
     Reading,
     /// It has been read, and has no response yet.
     Answering,
+    /// It is not read to its end. Its rest may still arrive, and is discarded; where the next request
+    /// begins is not known.
+    Skipping,
 }
 
 impl Tracker {
@@ -60,11 +63,12 @@
         };
         let stamped = stamp.and_then(|stamp| moment.steady(stamp)).unwrap_or(known);
         let arrived = known.max(stamped).min(moment.now);
-        let request = match self.phase {
-            Phase::Reading => &mut self.current,
-            Phase::Answering => &mut self.next,
-        };
-        request.get_or_insert(arrived);
+        match self.phase {
+            Phase::Reading => self.current = self.current.or(Some(arrived)),
+            Phase::Answering => self.next = self.next.or(Some(arrived)),
+            // The latest read may be the first one of the next request.
+            Phase::Skipping => self.current = Some(arrived),
+        }
         self.waits = false;
         self.emptied = if is_all { moment.now } else { known };
     }
@@ -79,12 +83,20 @@
         self.phase = Phase::Answering;
     }
 
+    /// Records that the rest of the current request is not read.
+    pub fn skip_request(&mut self) {
+        self.phase = Phase::Skipping;
+    }
+
     /// Records that a response is written. Before the end of a request that is only an interim one.
     pub fn respond(&mut self) {
         self.waits = false;
+        if self.phase == Phase::Reading {
+            return;
+        }
+        self.previous = self.arrived();
+        self.current = self.next.take();
         if self.phase == Phase::Answering {
-            self.previous = self.arrived();
-            self.current = self.next.take();
             self.phase = Phase::Reading;
         }
     }
--- a/components/arrival/tests/tracker.rs
+++ b/components/arrival/tests/tracker.rs
@@ -158,6 +158,19 @@
     assert_eq!(tracker.arrived(), arrived);
 }
 
+/// Guards against the rest of a body that is too large, which counts as the beginning of the next request.
+#[test]
+fn a_request_after_one_that_was_not_read_to_its_end_is_new() {
+    let mut tracker = Tracker::new(Time(0));
+    tracker.wait(running(1_000_000));
+    tracker.read(running(2_000_000), None, false);
+    tracker.skip_request();
+    tracker.respond();
+    tracker.read(running(2_000_000), None, true);
+    tracker.wait(running(2_000_000));
+    assert_eq!(exchange(&mut tracker, running(9_000_000)), Time(9_000_000 - ROUNDS));
+}
+
 /// Guards against a large request that takes several reads.
 #[test]
 fn a_read_that_left_bytes_behind_does_not_empty_the_socket() {
--- a/components/server/src/connection.rs
+++ b/components/server/src/connection.rs
@@ -84,6 +84,11 @@
         self.tracker.end_request();
     }
 
+    /// Records that the rest of the current request is not read.
+    pub fn skip_request(&mut self) {
+        self.tracker.skip_request();
+    }
+
     /// Reads what is there; fails with [`io::ErrorKind::WouldBlock`] if nothing is.
     fn receive(&mut self, buf: &mut [u8]) -> io::Result<usize> {
         let moment = self.observer.moment();
